Http: Fail an exchange that meets an interim response

Cause: CivetWeb's client drops the bytes that follow an interim response in the same packet, so waiting for the final head ended in a timeout. Also states the interfaces of the configuration log.

--- a/libraries/configuration/configuration_view.h
+++ b/libraries/configuration/configuration_view.h
@@ -2,9 +2,9 @@
 
 #include "kernel/clock.h"
 #include "libraries/configuration/configuration_set.h"
+#include "libraries/configuration/version_progress.h"
 
 #include <functional>
-#include <memory>
 
 namespace wisterialane::configuration {
 
@@ -32,6 +32,12 @@
     /// one any more. Grants that grew with a version are usable only from then on.
     [[nodiscard]] virtual kernel::version_number settled_version(kernel::time_point now) const = 0;
 
+    [[nodiscard]] virtual version_progress progress_of(kernel::version_number version,
+                                                       kernel::time_point now) const = 0;
+
+    /// Starts a poll of the platform at once, for example after a publish through this host.
+    virtual void poll_now() = 0;
+
     /// Registration ends before the services start.
     virtual void add_listener(listener notify) = 0;
 };
--- a/libraries/http/client_connection.h
+++ b/libraries/http/client_connection.h
@@ -55,7 +55,6 @@
     client_connection(kernel::socket_address address, void* connection);
 
     kernel::result<void> send(std::string_view bytes);
-    kernel::result<response_head> receive_one_head(std::chrono::milliseconds timeout);
     kernel::result<void> read_framing(const response_head& head);
 
     kernel::socket_address address_;
--- a/libraries/http/http_events.cpp
+++ b/libraries/http/http_events.cpp
@@ -25,6 +25,8 @@
         return "malformed_request";
     case http_event::body_too_large:
         return "body_too_large";
+    case http_event::interim_response:
+        return "interim_response";
     }
     return "unknown";
 }
--- a/libraries/http/http_events.h
+++ b/libraries/http/http_events.h
@@ -16,6 +16,7 @@
     body_length_unknown = 1107,
     malformed_request = 1108,
     body_too_large = 1109,
+    interim_response = 1110,
 };
 
 [[nodiscard]] std::string_view to_name(http_event event);
