--- a/libraries/platform/host_list.h
+++ b/libraries/platform/host_list.h
@@ -26,7 +26,7 @@
     kernel::socket_address upstream_address;
 };
 
-/// The platform's list of machines. Thread-safe; calls block up to the request timeout.
+/// The platform's list of machines. Thread-safe; calls block as those of `table` do.
 class host_list {
 public:
     host_list() = default;
--- a/libraries/platform/object_store.h
+++ b/libraries/platform/object_store.h
@@ -8,7 +8,7 @@
 
 namespace wisterialane::platform {
 
-/// The platform's object store. Thread-safe; calls block up to the request timeout.
+/// The platform's object store. Thread-safe; calls block as those of `table` do.
 class object_store {
 public:
     object_store() = default;
--- a/libraries/platform/table.h
+++ b/libraries/platform/table.h
@@ -20,7 +20,10 @@
     row_version version;
 };
 
-/// The platform's transactional table service. Thread-safe; calls block up to the request timeout.
+/// The platform's transactional table service. Thread-safe. A write blocks up to the request timeout; a read blocks up
+/// to twice that, because it is repeated once.
+///
+/// Keys are not empty. Values are UTF-8 text.
 ///
 /// A write that fails with `platform_event::outcome_unknown` may have taken effect or may still do so: the caller reads
 /// the row back. All other failures mean that it had no effect.
