--- a/libraries/configuration/configuration_events.cpp
+++ b/libraries/configuration/configuration_events.cpp
@@ -59,6 +59,8 @@
         return "configuration_fresh";
     case configuration_event::roster_changed:
         return "roster_changed";
+    case configuration_event::check_failed:
+        return "check_failed";
     }
     return "unknown";
 }
--- a/libraries/configuration/configuration_events.h
+++ b/libraries/configuration/configuration_events.h
@@ -33,6 +33,7 @@
     configuration_stale = 3024,
     configuration_fresh = 3025,
     roster_changed = 3026,
+    check_failed = 3027,
 };
 
 [[nodiscard]] std::string_view to_name(configuration_event event);
--- a/libraries/configuration/configuration_set.h
+++ b/libraries/configuration/configuration_set.h
@@ -6,11 +6,12 @@
 #include "libraries/configuration/objects.h"
 #include "libraries/configuration/record.h"
 
+#include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace wisterialane::configuration {
@@ -19,6 +20,9 @@
 /// Copies are deep; hosts keep one set and apply records to it.
 class configuration_set {
 public:
+    using key_digest_index = std::unordered_map<std::string, kernel::key_name>;
+    using route_prefix_index = std::map<std::string, kernel::route_name, std::less<>>;
+
     [[nodiscard]] kernel::version_number version() const { return version_; }
 
     [[nodiscard]] const chain_hash& hash() const { return hash_; }
@@ -49,6 +53,16 @@
     /// of the objects that refer to their targets.
     [[nodiscard]] std::vector<fault> check(const std::vector<change>& changes) const;
 
+    /// Whether the digest belonged to a key that was withdrawn, even if that key has been deleted since.
+    [[nodiscard]] bool is_withdrawn_digest(const std::string& digest) const;
+
+    /// The objects that refer to this one, sorted.
+    [[nodiscard]] const std::set<object_reference>& referrers_of(const object_reference& reference) const;
+
+    [[nodiscard]] const key_digest_index& keys_by_digest() const { return keys_by_digest_; }
+
+    [[nodiscard]] const route_prefix_index& routes_by_prefix() const { return routes_by_prefix_; }
+
     /// Applies the record that follows this version. Fails with `version_gap` or `hash_mismatch`, changing nothing.
     /// The changes were checked before the record was committed.
     kernel::result<void> apply(const record& next);
@@ -63,14 +77,20 @@
     void put(const object& item);
     void remove(const object_reference& reference);
 
+    [[nodiscard]] bool is_consistent() const;
+    void unindex(const object& item);
+
     kernel::version_number version_;
     chain_hash hash_;
     roster roster_;
     std::map<object_reference, object> objects_;
     /// For each object, the objects that refer to it.
-    std::map<object_reference, std::unordered_set<std::string>> referrers_;
-    std::unordered_map<std::string, kernel::key_name> keys_by_digest_;
-    std::map<std::string, kernel::route_name, std::less<>> routes_by_prefix_;
+    std::map<object_reference, std::set<object_reference>> referrers_;
+    key_digest_index keys_by_digest_;
+    route_prefix_index routes_by_prefix_;
+    /// Digests of all keys that were ever withdrawn. Kept after such a key is deleted, so that its secret cannot become
+    /// active again under any name.
+    std::set<std::string> withdrawn_digests_;
 };
 
 } // namespace wisterialane::configuration
--- a/libraries/configuration/log_store.h
+++ b/libraries/configuration/log_store.h
@@ -7,7 +7,9 @@
 #include "libraries/platform/object_store.h"
 #include "libraries/platform/table.h"
 
+#include <cstddef>
 #include <optional>
+#include <vector>
 
 namespace wisterialane::configuration {
 
@@ -23,8 +25,12 @@
     /// version before it is current.
     kernel::result<std::optional<record>> read(kernel::version_number version);
 
-    /// Inserts the record if its version is free. A lost answer is read back and the proposal ids are compared; fails
-    /// with `publish_outcome_unknown` if the read back fails as well.
+    /// Records that follow a version, in order and without gaps, at most `limit`; empty at the end of the log.
+    kernel::result<std::vector<record>> read_after(kernel::version_number version, std::size_t limit);
+
+    /// Inserts the record if its version is free. A lost answer is read back and the hashes are compared, which cover
+    /// the proposal id. Fails with `publish_outcome_unknown` if reading back fails as well or finds no record, because
+    /// the write may still take effect, and with `input_too_large` for a record that other hosts would refuse.
     kernel::result<append_outcome> append(const record& item);
 
     /// The set of the newest snapshot, or nothing if there is none.
@@ -34,6 +40,8 @@
     kernel::result<void> store_snapshot(const configuration_set& set);
 
 private:
+    kernel::result<append_outcome> resolve_lost_append(const record& item);
+
     platform::table& table_;
     platform::object_store& objects_;
 };
--- a/libraries/configuration/objects.h
+++ b/libraries/configuration/objects.h
@@ -5,7 +5,9 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 /// The objects that operators publish. They refer to one another by name.
@@ -94,7 +96,13 @@
     object_kind kind = object_kind::limit;
     std::string name;
 
-    friend auto operator<=>(const object_reference&, const object_reference&) = default;
+    // Not defaulted, because clang-tidy 14 takes the defaulted operator for a null pointer (modernize-use-nullptr).
+    friend std::strong_ordering operator<=>(const object_reference& left, const object_reference& right)
+    {
+        const auto order = left.kind <=> right.kind;
+        return std::is_neq(order) ? order : left.name <=> right.name;
+    }
+
     friend bool operator==(const object_reference&, const object_reference&) = default;
 };
 
@@ -102,4 +110,14 @@
 [[nodiscard]] const std::string& name_of(const object& item);
 [[nodiscard]] object_reference reference_to(const object& item);
 
+/// The object that this one refers to, or nothing for kinds without a reference.
+[[nodiscard]] std::optional<object_reference> reference_in(const object& item);
+
+/// The kind as it is written in JSON.
+[[nodiscard]] std::string_view to_text(object_kind kind);
+[[nodiscard]] std::optional<object_kind> kind_from_text(std::string_view text);
+
+/// `kind/name`, for messages.
+[[nodiscard]] std::string to_text(const object_reference& reference);
+
 } // namespace wisterialane::configuration
--- a/libraries/configuration/record.h
+++ b/libraries/configuration/record.h
@@ -32,6 +32,9 @@
                                  kernel::proposal_id proposal, kernel::operator_name author,
                                  std::vector<change> changes, std::optional<roster> new_roster);
 
+/// SHA-256 over the previous hash and the canonical JSON of the record's content.
+[[nodiscard]] chain_hash hash_of(const record& item);
+
 /// Canonical JSON of a record, as stored in the table and sent between hosts.
 [[nodiscard]] std::string encode_record(const record& item);
 
