--- a/libraries/http/client_connection.cpp
+++ b/libraries/http/client_connection.cpp
@@ -84,6 +84,7 @@
 
 kernel::result<void> client_connection::send_head(const request_head& head, body_size size)
 {
+    ++exchanges_started_;
     is_head_request_ = head.method == "HEAD";
     request_size_ = size;
     std::string text = head.method + " " + head.target + " HTTP/1.1\r\n";
--- a/libraries/http/client_connection.h
+++ b/libraries/http/client_connection.h
@@ -43,6 +43,9 @@
     /// Whether the last exchange is complete and the connection may carry another.
     [[nodiscard]] bool reusable() const;
 
+    /// Exchanges begun on this connection so far.
+    [[nodiscard]] std::uint64_t exchanges_started() const { return exchanges_started_; }
+
     [[nodiscard]] const kernel::socket_address& address() const { return address_; }
 
 private:
@@ -65,6 +68,7 @@
     body_size request_size_;
     body_size response_size_;
     std::uint64_t body_bytes_received_ = 0;
+    std::uint64_t exchanges_started_ = 0;
 };
 
 /// Runs one whole exchange on a new connection, for messages that fit in memory.
