--- a/libraries/limits/loan.h
+++ b/libraries/limits/loan.h
@@ -22,6 +22,14 @@
 /// How long a borrower may use a loan, counted from the time at which it sent the request.
 inline constexpr std::chrono::milliseconds loan_duration{4000};
 
+/// Upper bound of the ratio between the rates of two hosts' clocks.
+inline constexpr double clock_rate_margin = 1.01;
+
+/// How long a lender gives a loan up, counted from the grant, so that the borrower's use has ended on any clock.
+inline constexpr std::chrono::milliseconds lender_duration{
+    static_cast<std::chrono::milliseconds::rep>(static_cast<double>(loan_duration.count()) * clock_rate_margin)};
+static_assert(lender_duration == std::chrono::milliseconds{4040});
+
 /// One customer's part of a request for loans from one host to a home host of that customer.
 struct loan_request {
     kernel::customer_name customer;
