--- a/kernel/kernel_events.cpp
+++ b/kernel/kernel_events.cpp
@@ -21,6 +21,8 @@
         return "invalid_address";
     case kernel_event::random_source_failed:
         return "random_source_failed";
+    case kernel_event::no_configuration_source:
+        return "no_configuration_source";
     }
     return "unknown";
 }
--- a/kernel/kernel_events.h
+++ b/kernel/kernel_events.h
@@ -14,6 +14,7 @@
     service_name_taken = 1005,
     invalid_address = 1006,
     random_source_failed = 1007,
+    no_configuration_source = 1008,
 };
 
 [[nodiscard]] std::string_view to_name(kernel_event event);
--- a/libraries/claims/claim_store.cpp
+++ b/libraries/claims/claim_store.cpp
@@ -114,12 +114,12 @@
 }
 
 kernel::result<void> claim_store::complete(const claim_handle& handle, int status, std::string_view content_type,
-                                           std::string_view body)
+                                           std::optional<std::string_view> body)
 {
     auto record = make_record(handle);
     record.answer = completed_answer{status, std::string{content_type}, std::nullopt};
-    if (body.size() <= maximum_stored_body_bytes) {
-        record.answer->body = std::string{body};
+    if (body && body->size() <= maximum_stored_body_bytes) {
+        record.answer->body = std::string{*body};
     }
     const auto value = write_claim_record(record);
     for (int attempt = 0; attempt < maximum_update_attempts; ++attempt) {
--- a/libraries/claims/claim_store.h
+++ b/libraries/claims/claim_store.h
@@ -37,10 +37,11 @@
     kernel::result<claim_outcome> claim(const kernel::customer_name& customer, std::string_view idempotency_key,
                                         const request_digest& digest, const kernel::instance_id& instance);
 
-    /// Stores the answer of a request that ran. Fails with `claim_not_held` or `completion_not_stored`; the claim stays
+    /// Stores the answer of a request that ran; without `body`, or with one that is too long, only that it ran and its
+    /// status. Fails with `claim_not_held` or `completion_not_stored`; the claim stays
     /// taken in both cases, so that the request does not run again.
     kernel::result<void> complete(const claim_handle& handle, int status, std::string_view content_type,
-                                  std::string_view body);
+                                  std::optional<std::string_view> body);
 
     /// Gives up a claim whose request was certainly not sent. A release that fails is kept and repeated by
     /// `retry_releases`, or dropped when too many are kept.
--- a/services/configuration_service.cpp
+++ b/services/configuration_service.cpp
@@ -495,13 +495,13 @@
     if (!roster_differs_since_) {
         roster_differs_since_ = now;
     }
-    if (now - *roster_differs_since_ >= settings_.roster_delay && is_fresh_by_poll(now)) {
+    // A host that has not reached the log lately may hold an old version, whose successor exists already.
+    if (now - *roster_differs_since_ >= settings_.roster_delay && platform_answers(now)) {
         append_roster(std::move(wanted));
     }
 }
 
-// A host that has not reached the log lately may hold an old version, whose successor exists already.
-bool configuration_service::is_fresh_by_poll(kernel::time_point now) const
+bool configuration_service::platform_answers(kernel::time_point now) const
 {
     const std::lock_guard lock{mutex_};
     return last_poll_success_ && *last_poll_success_ >= now - peers::freshness_bound;
--- a/services/configuration_service.h
+++ b/services/configuration_service.h
@@ -89,6 +89,9 @@
 
     [[nodiscard]] kernel::version_number version() const;
 
+    /// Whether a poll of the platform has succeeded lately.
+    [[nodiscard]] bool platform_answers(kernel::time_point now) const;
+
     /// The state of an instance as far as peers and the host list tell.
     [[nodiscard]] peers::host_state state_of(const kernel::instance_id& instance) const;
 
@@ -139,7 +142,6 @@
     void store_snapshot_if_due();
     /// The caller holds `mutex_`.
     [[nodiscard]] peers::host_state known_state(const kernel::instance_id& instance) const;
-    [[nodiscard]] bool is_fresh_by_poll(kernel::time_point now) const;
 
     configuration_service_settings settings_;
     configuration::log_store log_;
--- a/services/metrics_service.cpp
+++ b/services/metrics_service.cpp
@@ -3,7 +3,6 @@
 #include <chrono>
 #include <cstddef>
 
-#include <prometheus/counter.h>
 #include <prometheus/text_serializer.h>
 
 namespace wisterialane::services {
@@ -34,8 +33,6 @@
                     .Register(*registry_)}
 {}
 
-metrics_service::~metrics_service() = default;
-
 void metrics_service::record_request(const kernel::customer_name& customer, const std::string& metrics_class,
                                      std::string_view outcome, kernel::duration latency, kernel::time_point now)
 {
--- a/services/metrics_service.h
+++ b/services/metrics_service.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -28,7 +29,6 @@
     using gauge_source = std::function<double()>;
 
     metrics_service();
-    ~metrics_service() override;
 
     [[nodiscard]] std::string_view name() const override { return "metrics"; }
 
--- /dev/null
+++ b/tests/support/loopback.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "kernel/identifiers.h"
+
+#include <cstdint>
+
+namespace wisterialane::test_support {
+
+/// An address on a loopback IP that belongs to this process, so that tests that run side by side never share a port and
+/// servers can be given fixed ports before they start.
+[[nodiscard]] kernel::socket_address loopback_address(std::uint16_t port);
+
+} // namespace wisterialane::test_support
--- /dev/null
+++ b/tests/support/sample_configuration.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "kernel/identifiers.h"
+
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+/// A small configuration for whole-system tests: the service "readings" with the routes "/lookups" and "/bundles"
+/// (idempotent), "/certificates" (not idempotent) and "/public" (open), and the customers "depot" with a high rate and
+/// "trader" with a low one.
+namespace wisterialane::test_support {
+
+inline constexpr double trader_rate_per_second = 20;
+inline constexpr double trader_burst = 20;
+
+[[nodiscard]] std::string depot_key();
+[[nodiscard]] std::string trader_key();
+
+[[nodiscard]] nlohmann::json put(nlohmann::json object);
+
+/// Changes that create everything, with one upstream per address.
+[[nodiscard]] nlohmann::json sample_changes(const std::vector<kernel::socket_address>& upstreams, unsigned slots);
+
+} // namespace wisterialane::test_support
--- /dev/null
+++ b/utilities/wisterialane/main.cpp
@@ -0,0 +1,94 @@
+// The entry host's process.
+
+#include "kernel/event_log.h"
+#include "kernel/kernel_events.h"
+#include "libraries/http/http_events.h"
+#include "libraries/peers/peers_events.h"
+#include "libraries/settings/host_settings.h"
+#include "libraries/settings/setting_table.h"
+#include "utilities/wisterialane/host_process.h"
+#include "utilities/wisterialane/stop_signal.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wisterialane {
+namespace {
+
+enum class exit_code { success = 0, faulty_settings = 2, address_in_use = 3, no_configuration_source = 4, failed = 5 };
+
+std::optional<std::string> read_environment(const std::string& name)
+{
+    const char* value = std::getenv(name.c_str());
+    return value == nullptr ? std::nullopt : std::optional<std::string>{value};
+}
+
+void report(const kernel::failure& reason)
+{
+    std::cerr << "wisterialane: error " << reason.number() << " " << reason.name() << ": " << reason.subject() << "\n";
+}
+
+exit_code report_start_failure(const kernel::failure& reason)
+{
+    report(reason);
+    const bool in_use =
+        reason.is(http::http_event::address_in_use) || reason.is(peers::peers_event::listen_failed);
+    return in_use ? exit_code::address_in_use : exit_code::failed;
+}
+
+exit_code run(const settings::host_settings& settings, const stop_signal& signal)
+{
+    auto host = host_process::create(settings);
+    if (!host) {
+        return report_start_failure(host.error());
+    }
+    if (const auto started = (*host)->start(); !started) {
+        return report_start_failure(started.error());
+    }
+    if (!(*host)->wait_for_configuration([&signal] { return signal.pending(); })) {
+        report({kernel::kernel_event::no_configuration_source, settings.platform_address.value()});
+        (*host)->stop();
+        return exit_code::no_configuration_source;
+    }
+    kernel::log_event(kernel::severity::information, kernel::kernel_event::process_started,
+                      {{"host", settings.host.value()}, {"data_centre", settings.data_centre.value()}});
+    std::cout << "listening " << settings.caller_address.value() << std::endl;
+    signal.wait();
+    kernel::log_event(kernel::severity::information, kernel::kernel_event::process_stopping);
+    (*host)->drain_and_stop();
+    kernel::log_event(kernel::severity::information, kernel::kernel_event::process_stopped);
+    return exit_code::success;
+}
+
+exit_code start(const std::vector<std::string>& arguments, const stop_signal& signal)
+{
+    const auto line = settings::read_command_line(arguments, read_environment);
+    if (!line) {
+        for (const auto& fault : line.error()) {
+            report(fault);
+        }
+        return exit_code::faulty_settings;
+    }
+    switch (line->action) {
+    case settings::command_line_action::print_help: std::cout << settings::render_help(); break;
+    case settings::command_line_action::print_settings_page: std::cout << settings::render_settings_page(); break;
+    case settings::command_line_action::check_settings: std::cout << "settings are valid\n"; break;
+    case settings::command_line_action::run: return run(line->settings, signal);
+    }
+    return exit_code::success;
+}
+
+} // namespace
+} // namespace wisterialane
+
+int main(int argument_count, char** arguments)
+{
+    const wisterialane::stop_signal signal;
+    std::signal(SIGPIPE, SIG_IGN);
+    wisterialane::kernel::initialize_event_log(arguments[0]);
+    return static_cast<int>(wisterialane::start({arguments + 1, arguments + argument_count}, signal));
+}
--- /dev/null
+++ b/utilities/wisterialane/stop_signal.cpp
@@ -0,0 +1,26 @@
+#include "utilities/wisterialane/stop_signal.h"
+
+namespace wisterialane {
+
+stop_signal::stop_signal()
+{
+    ::sigemptyset(&signals_);
+    ::sigaddset(&signals_, SIGTERM);
+    ::sigaddset(&signals_, SIGINT);
+    ::pthread_sigmask(SIG_BLOCK, &signals_, nullptr);
+}
+
+bool stop_signal::pending() const
+{
+    sigset_t waiting{};
+    ::sigpending(&waiting);
+    return ::sigismember(&waiting, SIGTERM) == 1 || ::sigismember(&waiting, SIGINT) == 1;
+}
+
+void stop_signal::wait() const
+{
+    int received = 0;
+    ::sigwait(&signals_, &received);
+}
+
+} // namespace wisterialane
