Configuration: Check the structure of input without a parser callback

Change: Find duplicate members and excessive depth with a SAX pass that builds no values, and parse without a callback. The test of create-key does without std::regex, whose header does not compile without warnings under the sanitizers.

--- a/libraries/configuration/json_codec.cpp
+++ b/libraries/configuration/json_codec.cpp
@@ -1,11 +1,11 @@
 #include "libraries/configuration/json_codec.h"
 
 #include "libraries/configuration/field_reader.h"
+#include "libraries/configuration/input_structure.h"
 
 #include <algorithm>
 #include <array>
 #include <limits>
-#include <set>
 
 namespace wisterialane::configuration {
 namespace {
@@ -34,35 +34,6 @@
     return found->first;
 }
 
-bool exceeds_depth(std::string_view text)
-{
-    std::size_t depth = 0;
-    bool in_string = false;
-    for (std::size_t index = 0; index < text.size(); ++index) {
-        const char character = text[index];
-        if (in_string) {
-            if (character == '\\') {
-                ++index;
-            }
-            else if (character == '"') {
-                in_string = false;
-            }
-        }
-        else if (character == '"') {
-            in_string = true;
-        }
-        else if (character == '{' || character == '[') {
-            if (++depth > maximum_input_depth) {
-                return true;
-            }
-        }
-        else if ((character == '}' || character == ']') && depth > 0) {
-            --depth;
-        }
-    }
-    return false;
-}
-
 struct object_encoder {
     json operator()(const limit& item) const
     {
@@ -258,31 +229,12 @@
     if (text.size() > maximum_bytes) {
         return kernel::fail(configuration_event::input_too_large, std::to_string(text.size()) + " bytes");
     }
-    if (exceeds_depth(text)) {
-        return kernel::fail(configuration_event::input_too_large, "nesting depth");
+    input_structure structure{maximum_input_depth};
+    json::sax_parse(text, &structure);
+    if (const auto problem = structure.problem()) {
+        return kernel::fail(*problem, *problem == configuration_event::input_too_large ? "nesting depth" : "JSON");
     }
-    std::vector<std::set<std::string>> open_objects;
-    bool duplicate = false;
-    const auto watch = [&](int, json::parse_event_t event, json& parsed) {
-        if (event == json::parse_event_t::object_start) {
-            open_objects.emplace_back();
-        }
-        else if (event == json::parse_event_t::object_end) {
-            open_objects.pop_back();
-        }
-        else if (event == json::parse_event_t::key) {
-            duplicate = !open_objects.back().insert(parsed.get<std::string>()).second || duplicate;
-        }
-        return true;
-    };
-    auto value = json::parse(text, watch, false);
-    if (value.is_discarded()) {
-        return kernel::fail(configuration_event::malformed_input, "not JSON");
-    }
-    if (duplicate) {
-        return kernel::fail(configuration_event::malformed_input, "a member occurs twice");
-    }
-    return value;
+    return json::parse(text, nullptr, false);
 }
 
 std::string write_json(const json& value)
--- a/tests/configuration/test_json_codec.cpp
+++ b/tests/configuration/test_json_codec.cpp
@@ -53,6 +53,14 @@
     CHECK(parse_json(std::string(maximum_input_bytes + 1, ' ')).error().is(configuration_event::input_too_large));
     CHECK(parse_json(R"({"a":1,"a":2})").error().is(configuration_event::malformed_input));
     CHECK(parse_json("[1e999]").error().is(configuration_event::malformed_input));
+    CHECK(parse_json(R"([{"a":1},{"a":1}])"));
+    CHECK(parse_json("[1] 2").error().is(configuration_event::malformed_input));
+    // Guards against a parser that visits all earlier elements at the end of each one.
+    std::string elements = "[{}";
+    while (elements.size() < maximum_input_bytes - 4) {
+        elements += ",{}";
+    }
+    CHECK(parse_json(elements + "]"));
     std::string many = "[0";
     for (std::size_t index = 0; index < maximum_changes; ++index) {
         many += ",0";
--- a/tests/operator/test_wisterialanectl.cpp
+++ b/tests/operator/test_wisterialanectl.cpp
@@ -1,11 +1,12 @@
 #include "tests/operator/operator_fixture.h"
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
-#include <regex>
 
 #include <sys/wait.h>
 #include <unistd.h>
@@ -118,9 +119,11 @@
     const auto path = (folder_ / "key.json").string();
     const auto created = run("create-key acme acme-2 --file " + path);
     REQUIRE(created.code == 0);
-    std::smatch found;
-    REQUIRE(std::regex_search(created.text, found, std::regex{"wlk_[A-Za-z0-9]{43}\\b"}));
-    const std::string secret = found[0];
+    const auto start = created.text.find("wlk_");
+    REQUIRE(start != std::string::npos);
+    const auto secret = created.text.substr(start, created.text.find('\n', start) - start);
+    CHECK(secret.size() == 47);
+    CHECK(std::all_of(secret.begin() + 4, secret.end(), [](unsigned char item) { return std::isalnum(item) != 0; }));
     std::ifstream file{path};
     const std::string proposal{std::istreambuf_iterator<char>{file}, {}};
     CHECK(proposal.find("wlk_") == std::string::npos);
