--- a/services/address_answer.cpp
+++ b/services/address_answer.cpp
@@ -20,9 +20,8 @@
 preference rank(const configuration::roster_entry& entry, const address_query& query)
 {
     const bool here = entry.data_centre == query.data_centre;
-    const bool home = std::any_of(query.homes.begin(), query.homes.end(), [&entry](const auto& candidate) {
-        return candidate.instance == entry.instance;
-    });
+    const bool home = std::any_of(query.homes.begin(), query.homes.end(),
+                                  [&entry](const auto& candidate) { return candidate.instance == entry.instance; });
     if (home) {
         return here ? preference::home_here : preference::home_elsewhere;
     }
@@ -54,10 +53,8 @@
     return ordered;
 }
 
-std::string render_addresses(const kernel::service_name& service,
-                             const std::vector<kernel::socket_address>& addresses,
-                             std::chrono::milliseconds keep,
-                             kernel::version_number version)
+std::string render_addresses(const kernel::service_name& service, const std::vector<kernel::socket_address>& addresses,
+                             std::chrono::milliseconds keep, kernel::version_number version)
 {
     nlohmann::json answer;
     answer["service"] = service.value();
--- a/services/address_answer.h
+++ b/services/address_answer.h
@@ -21,15 +21,14 @@
     std::vector<configuration::roster_entry> live;
 };
 
-/// Addresses to give to a caller, best first: homes in its data centre, homes elsewhere, other hosts in its data centre,
-/// others. Within each group the order is random, so that callers spread. `random(n)` returns a number below n.
-[[nodiscard]] std::vector<kernel::socket_address> order_addresses(const address_query& query,
-                                                                  const std::function<std::size_t(std::size_t)>& random);
+/// Addresses to give to a caller, best first: homes in its data centre, homes elsewhere, other hosts in its data
+/// centre, others. Within each group the order is random, so that callers spread. `random(n)` returns a number below n.
+[[nodiscard]] std::vector<kernel::socket_address>
+order_addresses(const address_query& query, const std::function<std::size_t(std::size_t)>& random);
 
 /// The JSON answer of `GET /.wisterialane/addresses`.
 [[nodiscard]] std::string render_addresses(const kernel::service_name& service,
                                            const std::vector<kernel::socket_address>& addresses,
-                                           std::chrono::milliseconds keep,
-                                           kernel::version_number version);
+                                           std::chrono::milliseconds keep, kernel::version_number version);
 
 } // namespace wisterialane::services
--- a/services/claim_service.h
+++ b/services/claim_service.h
@@ -21,6 +21,7 @@
     [[nodiscard]] std::string_view name() const override { return service_name; }
 
     kernel::result<void> start() override;
+
     void stop() override { task_.reset(); }
 
     [[nodiscard]] claims::claim_store& store() { return store_; }
--- a/services/gateway_service.cpp
+++ b/services/gateway_service.cpp
@@ -26,8 +26,8 @@
 
 gateway_service::gateway_service(gateway_service_settings settings, const kernel::service_registry& registry,
                                  kernel::clock_source clock)
-    : settings_{std::move(settings)}, registry_{registry}, clock_{std::move(clock)},
-      connections_{settings_.upstream_idle}
+    : settings_{std::move(settings)}, registry_{registry}, clock_{std::move(clock)}, connections_{
+                                                                                         settings_.upstream_idle}
 {}
 
 kernel::result<void> gateway_service::start()
@@ -42,15 +42,14 @@
         const std::lock_guard lock{mutex_};
         return retries_.try_retry();
     };
-    collaborators_.emplace(
-        pipeline_collaborators{*configuration_, *registry_.find<limit_service>("limits"), health,
-                               registry_.find<claim_service>(claim_service::service_name)->store(),
-                               *registry_.find<metrics_service>("metrics"), connections_, *slots_, try_retry, clock_,
-                               settings_.instance});
+    collaborators_.emplace(pipeline_collaborators{*configuration_, *registry_.find<limit_service>("limits"), health,
+                                                  registry_.find<claim_service>(claim_service::service_name)->store(),
+                                                  *registry_.find<metrics_service>("metrics"), connections_, *slots_,
+                                                  try_retry, clock_, settings_.instance});
     configuration_->read([this](const configuration::configuration_set& set) { follow_slots(set); });
     configuration_->add_listener([this](const configuration::configuration_set& set) { follow_slots(set); });
-    auto created = http::server::create(settings_.listen,
-                                        [this](http::server_exchange& exchange) { handle(exchange); });
+    auto created =
+        http::server::create(settings_.listen, [this](http::server_exchange& exchange) { handle(exchange); });
     if (!created) {
         return tl::unexpected{created.error()};
     }
@@ -122,8 +121,7 @@
         exchange.close_connection();
     }
     if (state == intake::refusing) {
-        gateway::send_refusal(exchange,
-                              {gateway::refusal_reason::stopping, gateway::execution::not_run, retry_soon});
+        gateway::send_refusal(exchange, {gateway::refusal_reason::stopping, gateway::execution::not_run, retry_soon});
         return;
     }
     dispatch(exchange);
@@ -141,8 +139,7 @@
         answer_health(exchange);
     }
     else if (path.substr(0, own_path.size()) == own_path) {
-        gateway::send_refusal(exchange,
-                              {gateway::refusal_reason::no_route, gateway::execution::not_run, std::nullopt});
+        gateway::send_refusal(exchange, {gateway::refusal_reason::no_route, gateway::execution::not_run, std::nullopt});
     }
     else {
         request_pipeline{*collaborators_, exchange}.run();
@@ -204,9 +201,8 @@
         query.homes = collaborators_->limits.home_addresses(*customer);
     }
     bool known = false;
-    configuration_->read([&](const configuration::configuration_set& set) {
-        known = set.find_service(query.service) != nullptr;
-    });
+    configuration_->read(
+        [&](const configuration::configuration_set& set) { known = set.find_service(query.service) != nullptr; });
     if (!known) {
         return refuse(gateway::refusal_reason::no_route);
     }
--- a/services/request_pipeline.cpp
+++ b/services/request_pipeline.cpp
@@ -305,8 +305,8 @@
         return std::nullopt;
     }
     const std::string id{*exchange_.head().headers.find(gateway::idempotency_key_header)};
-    auto outcome = use_.claims.claim(
-        customer_, id, claims::request_digest{gateway::to_text(fingerprint_)}, use_.instance);
+    auto outcome =
+        use_.claims.claim(customer_, id, claims::request_digest{gateway::to_text(fingerprint_)}, use_.instance);
     if (!outcome) {
         return refused_for_now(refusal_reason::claims_unavailable, retry_soon);
     }
--- a/services/status_page.cpp
+++ b/services/status_page.cpp
@@ -24,10 +24,14 @@
 std::string_view to_text(health::upstream_condition condition)
 {
     switch (condition) {
-    case health::upstream_condition::healthy: return "healthy";
-    case health::upstream_condition::ejected: return "ejected";
-    case health::upstream_condition::returning: return "returning";
-    case health::upstream_condition::avoided: return "avoided";
+    case health::upstream_condition::healthy:
+        return "healthy";
+    case health::upstream_condition::ejected:
+        return "ejected";
+    case health::upstream_condition::returning:
+        return "returning";
+    case health::upstream_condition::avoided:
+        return "avoided";
     }
     return "unknown";
 }
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -51,8 +51,8 @@
     /// Whether every process has started.
     [[nodiscard]] bool started() const { return started_; }
 
-    /// Proposes as one operator, reviews as another, publishes, and waits until the version is accepted. The version, or
-    /// nothing if a step failed.
+    /// Proposes as one operator, reviews as another, publishes, and waits until the version is accepted. The version,
+    /// or nothing if a step failed.
     std::optional<std::uint64_t> publish(const nlohmann::json& changes);
 
     /// Publishes the sample configuration with this fleet's upstreams and waits until all hosts serve it.
--- a/tests/support/sample_configuration.h
+++ b/tests/support/sample_configuration.h
@@ -12,6 +12,8 @@
 /// "trader" with a low one.
 namespace wisterialane::test_support {
 
+/// Above what the tests send, also while a part of the shares is moving.
+inline constexpr double depot_rate_per_second = 20'000;
 inline constexpr double trader_rate_per_second = 20;
 inline constexpr double trader_burst = 20;
 
--- a/tests/support/steering_caller.h
+++ b/tests/support/steering_caller.h
@@ -13,8 +13,8 @@
 
 namespace wisterialane::test_support {
 
-/// A caller as the interface asks for: it asks any host which addresses to use, keeps the answer for the time that it is
-/// told, and keeps its connection until the host closes it. Not thread-safe.
+/// A caller as the interface asks for: it asks any host which addresses to use, keeps the answer for the time that it
+/// is told, and keeps its connection until the host closes it. Not thread-safe.
 class steering_caller {
 public:
     steering_caller(std::vector<kernel::socket_address> known_hosts, std::string key)
--- a/utilities/wisterialane/host_process.cpp
+++ b/utilities/wisterialane/host_process.cpp
@@ -73,9 +73,9 @@
 
 kernel::result<void> host_process::add_services()
 {
-    return add_configuration_services()
-        .and_then([this] { return add_request_services(); })
-        .and_then([this] { return add_operator_service(); });
+    return add_configuration_services().and_then([this] { return add_request_services(); }).and_then([this] {
+        return add_operator_service();
+    });
 }
 
 kernel::result<void> host_process::add_configuration_services()
@@ -87,8 +87,8 @@
                           settings_.caller_address,
                           settings_.operator_address,
                           settings_.peer_address};
-    auto configuration_part = std::make_unique<configuration_service>(
-        configuration, platform_->tables(), platform_->objects(), platform_->hosts(), clock_);
+    auto configuration_part = std::make_unique<configuration_service>(configuration, platform_->tables(),
+                                                                      platform_->objects(), platform_->hosts(), clock_);
     peer_service_settings peers;
     peers.listen_address = settings_.peer_address;
     peers.secret = peers::fleet_secret{settings_.fleet_secret};
@@ -133,9 +133,8 @@
     auto& health = *registry_.find<health_service>(health_service::service_name);
     auto& limits = *registry_.find<limit_service>("limits");
     peers.set_evidence_source([this, &health] { return health.make_report(clock_()); });
-    peers.set_evidence_sink([&health](const health::evidence_report& report, kernel::time_point now) {
-        health.merge_report(report, now);
-    });
+    peers.set_evidence_sink(
+        [&health](const health::evidence_report& report, kernel::time_point now) { health.merge_report(report, now); });
     peers.set_loan_handler(
         [this, &limits](const kernel::instance_id& borrower, const std::vector<limits::loan_request>& requests) {
             return limits.handle_loan_requests(borrower, requests, clock_());
@@ -150,9 +149,8 @@
         std::unordered_set<kernel::upstream_name> names;
         // The search costs the size of the configuration, so it is left out in the usual case.
         if (!leaving.upstreams.empty()) {
-            configuration.read([&](const configuration::configuration_set& set) {
-                names = upstreams_at(set, leaving.upstreams);
-            });
+            configuration.read(
+                [&](const configuration::configuration_set& set) { names = upstreams_at(set, leaving.upstreams); });
         }
         health.set_leaving(names, clock_());
     });
--- a/utilities/wisterialane/main.cpp
+++ b/utilities/wisterialane/main.cpp
@@ -35,8 +35,7 @@
 exit_code report_start_failure(const kernel::failure& reason)
 {
     report(reason);
-    const bool in_use =
-        reason.is(http::http_event::address_in_use) || reason.is(peers::peers_event::listen_failed);
+    const bool in_use = reason.is(http::http_event::address_in_use) || reason.is(peers::peers_event::listen_failed);
     return in_use ? exit_code::address_in_use : exit_code::failed;
 }
 
@@ -74,10 +73,17 @@
         return exit_code::faulty_settings;
     }
     switch (line->action) {
-    case settings::command_line_action::print_help: std::cout << settings::render_help(); break;
-    case settings::command_line_action::print_settings_page: std::cout << settings::render_settings_page(); break;
-    case settings::command_line_action::check_settings: std::cout << "settings are valid\n"; break;
-    case settings::command_line_action::run: return run(line->settings, signal);
+    case settings::command_line_action::print_help:
+        std::cout << settings::render_help();
+        break;
+    case settings::command_line_action::print_settings_page:
+        std::cout << settings::render_settings_page();
+        break;
+    case settings::command_line_action::check_settings:
+        std::cout << "settings are valid\n";
+        break;
+    case settings::command_line_action::run:
+        return run(line->settings, signal);
     }
     return exit_code::success;
 }
