--- a/services/gateway_service.h
+++ b/services/gateway_service.h
@@ -55,6 +55,9 @@
     /// Requests that are being served.
     [[nodiscard]] std::size_t in_flight() const;
 
+    /// Requests that wait for an upstream.
+    [[nodiscard]] std::size_t waiting() const { return slots_ ? slots_->waiting() : 0; }
+
 private:
     enum class intake { serving, draining, refusing };
 
--- a/services/request_pipeline.cpp
+++ b/services/request_pipeline.cpp
@@ -68,7 +68,6 @@
     case attempt_end::response_timeout:
         return health::outcome_kind::response_timeout;
     case attempt_end::unusable_answer:
-        return health::outcome_kind::wrong_answer;
     case attempt_end::crossed_answer:
         return health::outcome_kind::wrong_answer;
     case attempt_end::stale_connection:
--- a/tests/fleet/test_failures.cpp
+++ b/tests/fleet/test_failures.cpp
@@ -236,7 +236,7 @@
                                  {{"kind", "limit"}, {"name", "trader"}, {"rate_per_second", rate}, {"burst", 20}})})}}
                 .dump());
         REQUIRE(answer);
-        const std::string id = json::parse(answer->body).at("id");
+        std::string id = json::parse(answer->body).at("id");
         REQUIRE(running_->call_operator(0, "binta", "POST", "/v1/proposals/" + id + "/review"));
         return id;
     };
--- a/tests/support/scenarios.cpp
+++ b/tests/support/scenarios.cpp
@@ -87,13 +87,19 @@
         to_grey = lookups_seen(running, 0) - before;
         return static_cast<double>(to_grey) < allowed;
     };
-    const bool avoided = wait_until(send_batch);
+    // One batch can miss the upstream by chance, so several in a row count.
+    constexpr unsigned batches_in_a_row = 4;
+    unsigned low = 0;
+    const bool avoided = wait_until([&] {
+        low = send_batch() ? low + 1 : 0;
+        return low == batches_in_a_row;
+    });
     const auto until_avoided = seconds_since(start);
-    const bool still_avoided = send_batch();
     running.control_upstream(0, {{"mode", "healthy"}});
-    return {avoided && still_avoided && unanswered == 0,
-            "avoided after " + one_decimal(until_avoided) + " s; then got " + std::to_string(to_grey) + " of " +
-                one_decimal(batch) + " lookups; " + std::to_string(unanswered) + " unanswered in all"};
+    return {avoided && unanswered == 0, "4 batches below 5 % of its share after " + one_decimal(until_avoided) +
+                                            " s, the last " + std::to_string(to_grey) + " of " +
+                                            std::to_string(static_cast<int>(batch)) + " lookups; " +
+                                            std::to_string(unanswered) + " unanswered in all"};
 }
 
 } // namespace
--- a/utilities/wisterialane/host_process.cpp
+++ b/utilities/wisterialane/host_process.cpp
@@ -51,6 +51,17 @@
     return names;
 }
 
+std::size_t count_ejected(const health_service& health)
+{
+    std::size_t ejected = 0;
+    for (const auto& service : health.snapshot()) {
+        for (const auto& upstream : service.upstreams) {
+            ejected += upstream.condition == health::upstream_condition::ejected ? 1 : 0;
+        }
+    }
+    return ejected;
+}
+
 } // namespace
 
 kernel::result<std::unique_ptr<host_process>> host_process::create(const settings::host_settings& settings)
@@ -123,6 +134,7 @@
     if (added) {
         connect_peers();
         connect_leaving_upstreams();
+        add_gauges();
     }
     return added;
 }
@@ -156,6 +168,33 @@
     });
 }
 
+void host_process::add_gauges()
+{
+    auto& metrics = *registry_.find<metrics_service>("metrics");
+    auto& configuration = *registry_.find<configuration_service>(configuration_service::service_name);
+    auto& gateway = *registry_.find<gateway_service>(gateway_service::service_name);
+    auto& health = *registry_.find<health_service>(health_service::service_name);
+    auto& limits = *registry_.find<limit_service>("limits");
+    auto& peers = *registry_.find<peer_service>(peer_service::service_name);
+    const auto add = [&metrics](const std::string& name, const std::string& help, const auto& read) {
+        metrics.add_gauge("wisterialane_" + name, help, [read] { return static_cast<double>(read()); });
+    };
+    add("requests_in_flight", "Requests being served.", [&gateway] { return gateway.in_flight(); });
+    add("requests_waiting", "Requests waiting for an upstream.", [&gateway] { return gateway.waiting(); });
+    add("configuration_version", "Version in force.", [&configuration] { return configuration.version().value(); });
+    add("configuration_fresh", "1 if keyed routes may be served.", [this, &configuration] {
+        return configuration.freshness_at(clock_()) == configuration::freshness::fresh ? 1 : 0;
+    });
+    add("platform_answers", "1 if the platform has answered a poll lately.",
+        [this, &configuration] { return configuration.platform_answers(clock_()) ? 1 : 0; });
+    add("active_customers", "Customers with rate state on this host.", [&limits] { return limits.active_customers(); });
+    add("peer_bytes_sent", "Bytes sent to other hosts since the start.",
+        [&peers] { return peers.traffic().bytes_sent; });
+    add("peer_bytes_received", "Bytes received from other hosts since the start.",
+        [&peers] { return peers.traffic().bytes_received; });
+    add("upstreams_ejected", "Upstreams that this host has ejected now.", [&health] { return count_ejected(health); });
+}
+
 kernel::result<void> host_process::add_operator_service()
 {
     auto& configuration = *registry_.find<configuration_service>(configuration_service::service_name);
--- a/utilities/wisterialane/host_process.h
+++ b/utilities/wisterialane/host_process.h
@@ -44,6 +44,7 @@
     kernel::result<void> add_operator_service();
     void connect_peers();
     void connect_leaving_upstreams();
+    void add_gauges();
 
     settings::host_settings settings_;
     kernel::clock_source clock_;
--- a/utilities/wisterialanectl/control_output.cpp
+++ b/utilities/wisterialanectl/control_output.cpp
@@ -100,12 +100,28 @@
 
 void print_status(std::ostream& stream, const json& answer)
 {
-    for (const auto* member : {"version", "settled_version", "freshness", "hosts"}) {
-        stream << member << ' ' << cell(answer, member) << '\n';
+    for (const auto* member : {"host", "data_centre", "version", "settled_version", "freshness", "platform_answers",
+                               "hosts", "requests_in_flight"}) {
+        if (answer.contains(member)) {
+            stream << member << ' ' << cell(answer, member) << '\n';
+        }
     }
-    for (const auto& [kind, count] : answer["objects"].items()) {
+    const auto objects = answer.value("objects", json::object());
+    for (const auto& [kind, count] : objects.items()) {
         stream << "objects " << kind << ' ' << cell(count) << '\n';
     }
+    if (answer.contains("limited_customers")) {
+        print_rows(stream, answer["limited_customers"], {"customer", "refusals", "last_refused_seconds_ago"});
+    }
+    const auto services = answer.value("services", json::array());
+    for (const auto& service : services) {
+        stream << "service " << cell(service, "service") << ": " << cell(service, "usable_slots") << " of "
+               << cell(service, "configured_slots") << " slots usable, at least " << cell(service, "required_slots")
+               << " required\n";
+        print_rows(
+            stream, service["upstreams"],
+            {"upstream", "condition", "leaving", "since_seconds", "weight", "good", "bad", "reporters", "ejections"});
+    }
 }
 
 void print_version(std::ostream& stream, const json& answer)
