Tests: Prove truthful refusals and leaving upstreams with processes

Cause: P7 and P9 were proved by unit tests only, and the health page could count a request out that was never counted in while the host refuses.

--- a/services/gateway_service.cpp
+++ b/services/gateway_service.cpp
@@ -95,6 +95,12 @@
     return in_flight_;
 }
 
+gateway_service::intake gateway_service::current_intake() const
+{
+    const std::lock_guard lock{mutex_};
+    return intake_;
+}
+
 gateway_service::intake gateway_service::enter()
 {
     const std::lock_guard lock{mutex_};
@@ -149,8 +155,7 @@
 void gateway_service::answer_health(http::server_exchange& exchange)
 {
     const bool fresh = configuration_->freshness_at(clock_()) == configuration::freshness::fresh;
-    const bool serving = enter() == intake::serving;
-    leave();
+    const bool serving = current_intake() == intake::serving;
     (void)exchange.respond(fresh && serving ? 200 : 503, {}, fresh ? (serving ? "serving" : "draining") : "stale");
 }
 
--- a/services/gateway_service.h
+++ b/services/gateway_service.h
@@ -68,6 +68,8 @@
     std::optional<kernel::customer_name> find_customer(std::string_view key) const;
     [[nodiscard]] std::size_t random_below(std::size_t bound);
     void follow_slots(const configuration::configuration_set& set);
+    [[nodiscard]] intake current_intake() const;
+    /// Counts a request in flight unless requests are refused; `leave` ends it.
     intake enter();
     void leave();
 
--- a/tests/fleet/test_failures.cpp
+++ b/tests/fleet/test_failures.cpp
@@ -169,6 +169,67 @@
     }));
 }
 
+// Guards against a refusal that says "not run" of a request that may have run, and against a second run (P7, P8).
+TEST_CASE_FIXTURE(failure_fixture,
+                  "fleet: upstreams shed or stop inside a certificate: the refusal says whether it ran")
+{
+    start({});
+    for (unsigned upstream = 0; upstream < options_.upstreams; ++upstream) {
+        running_->control_upstream(upstream, {{"mode", "shedding"}});
+    }
+    const caller_request shed{"POST", "/certificates/c", depot_key(), "id-c", "lot"};
+    const auto refused = running_->send(0, shed);
+    REQUIRE(refused);
+    CHECK(header(*refused, "Wisterialane-Reason") == "overloaded");
+    CHECK(header(*refused, "Wisterialane-Ran") == "no");
+
+    for (unsigned upstream = 0; upstream < options_.upstreams; ++upstream) {
+        running_->control_upstream(upstream, {{"mode", "cut"}});
+    }
+    const caller_request cut{"POST", "/certificates/d", depot_key(), "id-d", "lot"};
+    // A service whose upstreams all shed is tried again after a pause.
+    kernel::result<http::buffered_response> unknown = running_->send(0, cut);
+    REQUIRE(wait_until([&] {
+        unknown = running_->send(0, cut);
+        return unknown && header(*unknown, "Wisterialane-Ran") == "unknown";
+    }));
+    CHECK(runs_of("/certificates/d") == 1);
+
+    for (unsigned upstream = 0; upstream < options_.upstreams; ++upstream) {
+        running_->control_upstream(upstream, {{"mode", "healthy"}});
+    }
+    const auto repeated = running_->send(1, cut);
+    REQUIRE(repeated);
+    CHECK(header(*repeated, "Wisterialane-Reason") == "already-claimed");
+    CHECK(runs_of("/certificates/d") == 1);
+    CHECK(wait_until([&] {
+        const auto answer = running_->send(0, shed);
+        return answer && answer->head.status == 200;
+    }));
+}
+
+// Guards against new work for an upstream that is about to stop (P9).
+TEST_CASE_FIXTURE(failure_fixture, "fleet: upstream listed as leaving, another drains: neither gets new work")
+{
+    start({});
+    running_->list_upstream_as_leaving(0);
+    running_->control_upstream(1, {{"mode", "draining"}});
+    const auto seen = [this] { return running_->requests_seen_by(0).size() + running_->requests_seen_by(1).size(); };
+    const auto look_up = [this] {
+        for (int index = 0; index < 60; ++index) {
+            REQUIRE(lookup_status(static_cast<unsigned>(index) % running_->host_count()) == 200);
+        }
+    };
+    CHECK(wait_until([&] {
+        const auto before = seen();
+        look_up();
+        return seen() == before;
+    }));
+    const auto before = seen();
+    look_up();
+    CHECK(seen() == before);
+}
+
 // Guards against a caller's key that reaches an upstream, wherever the caller put it (P3).
 TEST_CASE_FIXTURE(failure_fixture, "fleet: key in header, query, cookie and body: no upstream sees it")
 {
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -289,6 +289,17 @@
     (void)http::fetch(platform_address(), {"PUT", "/control/settings", {}}, settings.dump(), call_timeout);
 }
 
+void fleet::list_upstream_as_leaving(unsigned upstream) const
+{
+    const auto name = "readings-" + std::to_string(upstream);
+    const json entry{{"role", "upstream"},
+                     {"state", "leaving"},
+                     {"name", name},
+                     {"data_centre", "dc-a"},
+                     {"upstream_address", upstream_address_for_hosts(upstream).value()}};
+    (void)http::fetch(platform_address(), {"PUT", "/control/upstreams/" + name, {}}, entry.dump(), call_timeout);
+}
+
 void fleet::control_relay(unsigned relay, const std::string& target) const
 {
     (void)http::fetch(relay_control_address(relay), {"POST", target, {}}, "", call_timeout);
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -74,6 +74,9 @@
     void control_upstream(unsigned upstream, const nlohmann::json& mode) const;
     void control_platform(const nlohmann::json& settings) const;
 
+    /// Shows an upstream as leaving in the platform's host list.
+    void list_upstream_as_leaving(unsigned upstream) const;
+
     /// Cuts a relay: `to_server`, `to_client` or `both`. Open connections stay open and go silent.
     void cut_upstream(unsigned upstream, const std::string& direction) const;
     void restore_upstream(unsigned upstream) const;
