Http: Receive whole bodies in one place, and prove the bound on bodies

Cause: the pipeline repeated the HTTP library's loop, and a body above its route's bound was refused without a whole-system test. Change: the loop is public in the library; a case sends the head of a body that is too large. Result: refused with 413, ran no.

--- a/libraries/http/client_connection.cpp
+++ b/libraries/http/client_connection.cpp
@@ -36,25 +36,6 @@
     return status == 204 || status == 304;
 }
 
-kernel::result<std::string> receive_whole_body(client_connection& connection, std::size_t maximum_bytes)
-{
-    std::string body;
-    std::array<char, 16 * 1024> buffer{};
-    while (true) {
-        const auto count = connection.receive_body(buffer);
-        if (!count) {
-            return tl::unexpected{count.error()};
-        }
-        if (*count == 0) {
-            return body;
-        }
-        if (body.size() + *count > maximum_bytes) {
-            return kernel::fail(http_event::body_too_large, connection.address().value());
-        }
-        body.append(buffer.data(), *count);
-    }
-}
-
 } // namespace
 
 client_connection::client_connection(kernel::socket_address address, void* connection)
@@ -216,6 +197,25 @@
     return {};
 }
 
+kernel::result<std::string> receive_whole_body(client_connection& connection, std::size_t maximum_bytes)
+{
+    std::string body;
+    std::array<char, 16 * 1024> buffer{};
+    while (true) {
+        const auto count = connection.receive_body(buffer);
+        if (!count) {
+            return tl::unexpected{count.error()};
+        }
+        if (*count == 0) {
+            return body;
+        }
+        if (body.size() + *count > maximum_bytes) {
+            return kernel::fail(http_event::body_too_large, connection.address().value());
+        }
+        body.append(buffer.data(), *count);
+    }
+}
+
 kernel::result<buffered_response> exchange(client_connection& connection, const request_head& head,
                                            std::string_view body, std::chrono::milliseconds timeout,
                                            std::size_t maximum_body_bytes)
--- a/libraries/http/client_connection.h
+++ b/libraries/http/client_connection.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace wisterialane::http {
@@ -71,6 +72,9 @@
     std::uint64_t exchanges_started_ = 0;
 };
 
+/// Receives the rest of the response body. Fails with `body_cut`, or with `body_too_large` above `maximum_bytes`.
+kernel::result<std::string> receive_whole_body(client_connection& connection, std::size_t maximum_bytes);
+
 /// Runs one whole exchange on a new connection, for messages that fit in memory.
 kernel::result<buffered_response> fetch(const kernel::socket_address& address, const request_head& head,
                                         std::string_view body, std::chrono::milliseconds timeout,
--- a/services/request_pipeline.cpp
+++ b/services/request_pipeline.cpp
@@ -92,22 +92,6 @@
     return {http::body_framing::length, 0};
 }
 
-kernel::result<std::string> receive_small_body(http::client_connection& connection)
-{
-    std::string body;
-    std::array<char, 16 * 1024> buffer{};
-    while (true) {
-        const auto count = connection.receive_body(buffer);
-        if (!count) {
-            return tl::unexpected{count.error()};
-        }
-        if (*count == 0) {
-            return body;
-        }
-        body.append(buffer.data(), *count);
-    }
-}
-
 std::string content_type_of(const http::response_head& head)
 {
     return std::string{head.headers.find("Content-Type").value_or("application/octet-stream")};
@@ -435,7 +419,7 @@
     if (!small) {
         return answer;
     }
-    auto body = receive_small_body(*answer.connection);
+    auto body = http::receive_whole_body(*answer.connection, buffered_answer_bytes);
     if (!body) {
         finish_choice(upstream.handle, sent_at, health::outcome_kind::cut, {});
         return tl::unexpected{attempt_end::unusable_answer};
--- a/tests/fleet/test_failures.cpp
+++ b/tests/fleet/test_failures.cpp
@@ -251,6 +251,24 @@
     CHECK(seen > 0);
 }
 
+// Guards against unbounded work for a body that its route does not allow.
+TEST_CASE_FIXTURE(failure_fixture, "fleet: body larger than its route allows: is refused as not run")
+{
+    start({});
+    constexpr std::uint64_t too_many_bytes = 8'000'001;
+    // Only the head is sent, because the host answers and closes without reading the body.
+    http::request_head head{"POST", "/bundles/large", {}};
+    head.headers.add("Authorization", "Bearer " + depot_key());
+    auto connection = http::client_connection::connect(running_->caller_address(0));
+    REQUIRE(connection);
+    REQUIRE((*connection)->send_head(head, {http::body_framing::length, too_many_bytes}));
+    const auto refused = (*connection)->receive_head(event_limit);
+    REQUIRE(refused);
+    CHECK(refused->status == 413);
+    CHECK(refused->headers.find("Wisterialane-Ran") == "no");
+    CHECK(runs_of("/bundles/large") == 0);
+}
+
 // Guards against waiting for ever on a connection that a middlebox has forgotten: the caller gets its answer from a new
 // connection or another upstream within its deadline.
 TEST_CASE_FIXTURE(failure_fixture, "fleet: connections to an upstream go silent: lookups are answered in time")
--- a/tests/http/test_server.cpp
+++ b/tests/http/test_server.cpp
@@ -131,7 +131,6 @@
     const auto now = kernel::time_point{};
     auto connection = pool.acquire(server_->address(), connection_reuse::allowed, now);
     REQUIRE(connection);
-    const auto* first = connection->get();
     REQUIRE((*connection)->send_head({"GET", "/", {}}, {}));
     REQUIRE((*connection)->finish_request());
     REQUIRE((*connection)->receive_head(std::chrono::seconds{5}));
@@ -142,7 +141,6 @@
     const auto answer = exchange(**second, {"GET", "/other", {}}, "", std::chrono::seconds{5});
     REQUIRE(answer);
     CHECK(answer->body == "GET /other ");
-    (void)first;
 }
 
 // Guards against using a connection that the server is about to close.
