--- a/services/gateway_service.cpp
+++ b/services/gateway_service.cpp
@@ -28,9 +28,6 @@
                                  kernel::clock_source clock)
     : settings_{std::move(settings)}, registry_{registry}, clock_{std::move(clock)}, connections_{
                                                                                          settings_.upstream_idle}
-{}
-
-kernel::result<void> gateway_service::start()
 {
     configuration_ = registry_.find<configuration_service>(configuration_service::service_name);
     auto& health = *registry_.find<health_service>(health_service::service_name);
@@ -38,6 +35,13 @@
         return health.choose(request.service, request.route, request.excluded, now);
     };
     slots_.emplace(choose, clock_);
+    // The configuration service accepts listeners only until it starts.
+    configuration_->add_listener([this](const configuration::configuration_set& set) { follow_slots(set); });
+}
+
+kernel::result<void> gateway_service::start()
+{
+    auto& health = *registry_.find<health_service>(health_service::service_name);
     const auto try_retry = [this] {
         const std::lock_guard lock{mutex_};
         return retries_.try_retry();
@@ -47,7 +51,6 @@
                                                   *registry_.find<metrics_service>("metrics"), connections_, *slots_,
                                                   try_retry, clock_, settings_.instance});
     configuration_->read([this](const configuration::configuration_set& set) { follow_slots(set); });
-    configuration_->add_listener([this](const configuration::configuration_set& set) { follow_slots(set); });
     auto created =
         http::server::create(settings_.listen, [this](http::server_exchange& exchange) { handle(exchange); });
     if (!created) {
--- a/services/gateway_service.h
+++ b/services/gateway_service.h
@@ -37,7 +37,7 @@
 public:
     static constexpr std::string_view service_name = "gateway";
 
-    /// Finds the other services by name when it starts.
+    /// The configuration and health services are registered already; the others are found by name at the start.
     gateway_service(gateway_service_settings settings, const kernel::service_registry& registry,
                     kernel::clock_source clock);
 
