Proxy: Split the retry slack among all hosts, also those that stand by

A quarter of the slack is now split among the hosts that stand by, the rest among those that take callers; a process halves its part in its first window.

Ruled out: hedges beside retries (attempt_plan forbids them).

--- a/libraries/proxy/fleet_retry_budget.cpp
+++ b/libraries/proxy/fleet_retry_budget.cpp
@@ -7,6 +7,12 @@
 
 /// Part of the allowance that is used, because hosts count their windows at different moments.
 constexpr double used_part = 0.75;
+/// Hosts that stand by get few requests, but any of them may get some.
+constexpr double standby_part = 0.25;
+/// The window over which retries are bounded.
+constexpr kernel::duration window = std::chrono::seconds{10};
+/// A process that has just started leaves room for the retries of the one before it.
+constexpr double starting_part = 0.5;
 
 } // namespace
 
@@ -20,12 +26,19 @@
     auto& counted = services_[service];
     const auto requests = static_cast<double>(counted.requests.count(now));
     const auto retries = static_cast<double>(counted.retries.count(now));
-    const double slack = allowance_.slack / static_cast<double>(std::max<std::size_t>(1, hosts_));
-    if (retries + 1 > used_part * (allowance_.ratio * requests + slack)) {
+    if (retries + 1 > used_part * (allowance_.ratio * requests + slack_part_ * allowance_.slack)) {
         return false;
     }
     counted.retries.add(now);
     return true;
 }
 
+double slack_part(const slack_share& share)
+{
+    const auto hosts = std::max<std::size_t>(1, share.offered ? share.offered_hosts : share.standby_hosts);
+    const double group = share.offered ? 1 - standby_part : standby_part;
+    const double part = group / static_cast<double>(hosts);
+    return share.uptime < window ? starting_part * part : part;
+}
+
 } // namespace wisterialane::proxy
--- a/libraries/proxy/fleet_retry_budget.h
+++ b/libraries/proxy/fleet_retry_budget.h
@@ -18,13 +18,13 @@
 };
 
 /// This host's part of the retry budget of each service. The ratio binds each host by itself; the slack is split
-/// among the hosts that take requests.
+/// among all hosts by `slack_part`.
 class fleet_retry_budget {
 public:
     void configure(retry_allowance allowance) { allowance_ = allowance; }
 
-    /// `hosts` take requests now, this one included.
-    void set_host_count(std::size_t hosts) { hosts_ = hosts; }
+    /// This host's part of the slack, 0 to 1.
+    void set_slack_part(double part) { slack_part_ = part; }
 
     /// A request of a caller for this service.
     void record_request(const kernel::service_name& service, kernel::time_point now);
@@ -39,8 +39,21 @@
     };
 
     retry_allowance allowance_;
-    std::size_t hosts_ = 1;
+    double slack_part_ = 0;
     std::unordered_map<kernel::service_name, counters> services_;
 };
 
+/// What decides a host's part of the slack.
+struct slack_share {
+    /// Callers are sent to this host.
+    bool offered = false;
+    /// Hosts that callers are sent to, and all others.
+    std::size_t offered_hosts = 1;
+    std::size_t standby_hosts = 0;
+    /// Time since the start of the process, which forgets the retries of the process before it.
+    kernel::duration uptime{};
+};
+
+[[nodiscard]] double slack_part(const slack_share& share);
+
 } // namespace wisterialane::proxy
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -324,7 +324,9 @@
     const auto expected = peers_.expected_count();
     const auto hosts = settling ? std::max(expected, assumed_hosts) : expected;
     environment_.quota.set_hosts(hosts, !settling && !peers_.some_are_silent(now));
-    environment_.retries.set_host_count(hosts);
+    const auto all = peers_.peers().size() + 1;
+    environment_.retries.set_slack_part(
+        slack_part({peers_.is_offered(now), hosts, all - std::min(all, hosts), now - started_at_}));
 }
 
 // A host that begins to take callers tells everyone, because those of other data centres do not hear the hosts that
