Proxy: Keep suspected upstreams out for longer while callers are served

The first ban is 4 s, and 0.45 of a service may be suspected unless more than a tenth of its requests goes unserved (then 0.3, for the floor).

One host of each data centre takes callers now; it knows best what its upstreams work on.

--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -19,7 +19,12 @@
 constexpr double cold_factor = 2;
 /// At most this part of a service's upstreams is kept without work for longer than `minimum_ban`: the rest of the
 /// service has to carry their load, and many failures at once say more about the evidence than about the upstreams.
-constexpr double maximum_suspected_part = 0.3;
+constexpr double maximum_suspected_part = 0.45;
+/// The same while callers go unserved: then every upstream that may be sound has to work.
+constexpr double strained_suspected_part = 0.3;
+/// A service is strained when more than this part of its requests was not served in `strain_window`.
+constexpr double strain_threshold = 0.1;
+constexpr std::chrono::seconds strain_window{3};
 
 /// Requests that this host keeps at one upstream: its slots and half as many in its queue.
 std::size_t limit_of(const upstream& item)
@@ -80,13 +85,13 @@
 // Suspected upstreams that get a trial before their time, because too many of the service are suspected. Those that
 // have been suspected longest come first.
 std::set<kernel::upstream_name> load_balancer::released_early(const std::vector<upstream*>& items,
-                                                              kernel::time_point now)
+                                                              double suspected_part, kernel::time_point now)
 {
     std::vector<const upstream*> suspected;
     std::copy_if(items.begin(), items.end(), std::back_inserter(suspected), [now](const auto* item) {
         return !item->missing_since && item->health.state(now) == trust::suspected;
     });
-    const auto allowed = static_cast<std::size_t>(maximum_suspected_part * static_cast<double>(items.size()));
+    const auto allowed = static_cast<std::size_t>(suspected_part * static_cast<double>(items.size()));
     std::set<kernel::upstream_name> released;
     if (suspected.size() <= allowed) {
         return released;
@@ -103,11 +108,28 @@
     return released;
 }
 
+void load_balancer::record_result(const kernel::service_name& service, bool served, kernel::time_point now)
+{
+    auto& counted = results_[service];
+    (served ? counted.served : counted.unserved).add(now);
+}
+
+bool load_balancer::is_strained(const kernel::service_name& service, kernel::time_point now) const
+{
+    const auto found = results_.find(service);
+    if (found == results_.end()) {
+        return false;
+    }
+    const auto served = static_cast<double>(found->second.served.count(now, strain_window));
+    const auto unserved = static_cast<double>(found->second.unserved.count(now, strain_window));
+    return unserved > strain_threshold * (served + unserved);
+}
+
 load_balancer::shortlist load_balancer::sort(const std::vector<upstream*>& items, kernel::duration typical,
-                                             kernel::time_point now) const
+                                             double suspected_part, kernel::time_point now) const
 {
     shortlist result;
-    const auto released = released_early(items, now);
+    const auto released = released_early(items, suspected_part, now);
     for (auto* item : items) {
         auto state = trust_of(*item, typical, now);
         if (state == trust::suspected && released.contains(item->record.id)) {
@@ -134,7 +156,8 @@
     if (!items.empty()) {
         std::rotate(items.begin(), items.begin() + static_cast<std::ptrdiff_t>(++turn_ % items.size()), items.end());
     }
-    auto list = sort(items, typical, now);
+    const auto part = is_strained(request.service, now) ? strained_suspected_part : maximum_suspected_part;
+    auto list = sort(items, typical, part, now);
     const auto is_excluded = [&request](const auto& entry) { return request.excluded.contains(entry.item->record.id); };
     std::erase_if(list.trusted, is_excluded);
     std::erase_if(list.on_trial, is_excluded);
--- a/libraries/proxy/load_balancer.h
+++ b/libraries/proxy/load_balancer.h
@@ -4,8 +4,10 @@
 #include "kernel/identifiers.h"
 #include "libraries/proxy/traffic_configuration.h"
 #include "libraries/proxy/upstream_directory.h"
+#include "libraries/proxy/window_counter.h"
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <vector>
 
@@ -40,6 +42,9 @@
     [[nodiscard]] tl::expected<upstream*, placement_refusal> choose(const placement_request& request,
                                                                     kernel::time_point now);
 
+    /// A caller's request to the service has ended, with a success or without.
+    void record_result(const kernel::service_name& service, bool served, kernel::time_point now);
+
     /// Mean time of an exchange with the service's upstreams; zero before the first.
     [[nodiscard]] kernel::duration service_latency(const kernel::service_name& service);
 
@@ -61,10 +66,17 @@
         bool some_are_full = false;
     };
 
-    [[nodiscard]] shortlist sort(const std::vector<upstream*>& items, kernel::duration typical,
+    /// Results of a service's requests at this host.
+    struct result_counts {
+        window_counter served;
+        window_counter unserved;
+    };
+
+    [[nodiscard]] bool is_strained(const kernel::service_name& service, kernel::time_point now) const;
+    [[nodiscard]] shortlist sort(const std::vector<upstream*>& items, kernel::duration typical, double suspected_part,
                                  kernel::time_point now) const;
     [[nodiscard]] static std::set<kernel::upstream_name> released_early(const std::vector<upstream*>& items,
-                                                                        kernel::time_point now);
+                                                                        double suspected_part, kernel::time_point now);
     [[nodiscard]] static upstream* least_suspected(const std::vector<candidate>& candidates, kernel::time_point now);
     [[nodiscard]] double cost_of(const upstream& item, kernel::duration typical, kernel::time_point now) const;
     [[nodiscard]] static trust trust_of(const upstream& item, kernel::duration typical, kernel::time_point now);
@@ -73,6 +85,7 @@
 
     upstream_directory& directory_;
     kernel::data_centre_name here_;
+    std::map<kernel::service_name, result_counts> results_;
     /// Rotates the order of equals.
     std::uint64_t turn_ = 0;
 };
--- a/libraries/proxy/peer_directory.h
+++ b/libraries/proxy/peer_directory.h
@@ -31,7 +31,7 @@
     struct options {
         host_record self;
         /// Hosts of one data centre that callers are sent to.
-        std::size_t hosts_per_data_centre = 2;
+        std::size_t hosts_per_data_centre = 1;
         /// A host that is silent for longer is not offered to callers.
         kernel::duration silence = std::chrono::milliseconds{2500};
     };
--- a/libraries/proxy/proxy_host.h
+++ b/libraries/proxy/proxy_host.h
@@ -36,7 +36,7 @@
     tcp::endpoint addresses;
     tcp::endpoint peers;
     std::optional<tcp::endpoint> metrics;
-    std::size_t hosts_per_data_centre = 2;
+    std::size_t hosts_per_data_centre = 1;
     wire_names names;
     /// The answer with addresses for callers, and how long they may keep it.
     std::function<std::string(const std::vector<kernel::socket_address>&, std::chrono::milliseconds)> render_addresses;
--- a/libraries/proxy/request_flow.cpp
+++ b/libraries/proxy/request_flow.cpp
@@ -27,6 +27,9 @@
 constexpr unsigned misdirected_status = 421;
 constexpr unsigned server_timeout_status = 504;
 
+constexpr std::string_view served = "served";
+constexpr std::string_view caller_left = "caller_left";
+
 std::string retry_after_text(kernel::duration wait)
 {
     const auto rounded = std::chrono::ceil<milliseconds>(wait).count();
@@ -472,7 +475,7 @@
                    {{"request", request_id_}, {"elapsed_ms", to_text(now - arrived_)}});
     cancel_attempts(exchange_outcome::neutral);
     session_->abort();
-    end("caller_left");
+    end(caller_left);
     line().serve();
 }
 
@@ -517,7 +520,7 @@
     response.headers = headers_for_caller(answer.headers);
     response.body = std::move(answer.body);
     const auto session = session_;
-    end(is_success(answer.status) ? "served" : "upstream_error");
+    end(is_success(answer.status) ? served : "upstream_error");
     session->respond(std::move(response));
 }
 
@@ -556,6 +559,9 @@
     deadline_.cancel();
     hedge_.cancel();
     const auto now = use_.clock();
+    if (!service_.value().empty() && outcome != caller_left) {
+        use_.balancer.record_result(service_, outcome == served, now);
+    }
     use_.metrics.record_request(customer_ == nullptr ? kernel::customer_name{} : customer_->name, outcome,
                                 now - arrived_);
 }
--- a/libraries/proxy/upstream_health.cpp
+++ b/libraries/proxy/upstream_health.cpp
@@ -18,7 +18,7 @@
 constexpr double good_weight = 1;
 /// Suspicion halves in this time.
 constexpr seconds suspicion_half_life{4};
-constexpr kernel::duration first_ban = std::chrono::milliseconds{2500};
+constexpr kernel::duration first_ban = std::chrono::milliseconds{4000};
 constexpr kernel::duration maximum_ban = std::chrono::seconds{10};
 /// After this time without a failure the next ban is a first one again.
 constexpr kernel::duration ban_memory = std::chrono::seconds{10};
--- a/libraries/proxy/window_counter.h
+++ b/libraries/proxy/window_counter.h
@@ -20,13 +20,14 @@
         ++current.count;
     }
 
-    /// Events of the present second and the nine before it.
-    [[nodiscard]] std::uint64_t count(kernel::time_point now) const
+    /// Events of the present second and of those before it, `span` in all; ten seconds at most.
+    [[nodiscard]] std::uint64_t count(kernel::time_point now,
+                                      std::chrono::seconds span = std::chrono::seconds{10}) const
     {
         const auto second = second_of(now);
         std::uint64_t sum = 0;
         for (const auto& item : slots_) {
-            if (item.second > second - static_cast<std::int64_t>(slots_.size()) && item.second <= second) {
+            if (item.second > second - span.count() && item.second <= second) {
                 sum += item.count;
             }
         }
--- a/utilities/wisterialane/edge_command.cpp
+++ b/utilities/wisterialane/edge_command.cpp
@@ -30,7 +30,7 @@
 /// The checked command line.
 struct edge_options {
     std::string settings_file;
-    std::size_t hosts_per_data_centre = 2;
+    std::size_t hosts_per_data_centre = 1;
     bool check_only = false;
 };
 
@@ -41,7 +41,7 @@
     add("help", "print this text");
     add("settings-file", options::value(&use.settings_file),
         "the platform's settings file (default: from the platform's environment variable)");
-    add("hosts-per-data-centre", options::value(&use.hosts_per_data_centre)->default_value(2),
+    add("hosts-per-data-centre", options::value(&use.hosts_per_data_centre)->default_value(1),
         "hosts of a data centre that callers are sent to; the others stand by");
     add("check-settings", options::bool_switch(&use.check_only), "check the settings and exit");
     return description;
