--- a/libraries/platform/percent_encoding.cpp
+++ b/libraries/encoding/percent_encoding.cpp
@@ -1,8 +1,8 @@
-#include "libraries/platform/percent_encoding.h"
+#include "libraries/encoding/percent_encoding.h"
 
 #include <charconv>
 
-namespace wisterialane::platform {
+namespace wisterialane::encoding {
 namespace {
 
 constexpr std::string_view plain_characters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_~";
@@ -47,4 +47,4 @@
     return decoded;
 }
 
-} // namespace wisterialane::platform
+} // namespace wisterialane::encoding
--- a/libraries/health/quarantine.cpp
+++ b/libraries/health/quarantine.cpp
@@ -7,7 +7,7 @@
 crash_attribution quarantine::record(const crash_sighting& sighting, kernel::time_point now)
 {
     auto found = entries_.find(sighting.fingerprint);
-    if (found != entries_.end() && found->second.expired(now)) {
+    if (found != entries_.end() && is_expired(found->second, now)) {
         entries_.erase(found);
         found = entries_.end();
     }
@@ -16,7 +16,7 @@
         found = entries_.emplace(sighting.fingerprint, entry{{}, now, std::nullopt}).first;
     }
     auto& known = found->second;
-    if (known.decided()) {
+    if (is_decided(known)) {
         return crash_attribution::request_already_blamed;
     }
     if (known.succeeded && now - *known.succeeded <= decision_window) {
@@ -26,13 +26,13 @@
     if (known.upstreams.insert(sighting.upstream).second) {
         known.newest = now;
     }
-    return known.decided() ? crash_attribution::request_newly_blamed : crash_attribution::undecided;
+    return is_decided(known) ? crash_attribution::request_newly_blamed : crash_attribution::undecided;
 }
 
 void quarantine::record_success(std::uint64_t fingerprint, kernel::time_point now)
 {
     const auto found = entries_.find(fingerprint);
-    if (found != entries_.end() && !found->second.decided()) {
+    if (found != entries_.end() && !is_decided(found->second)) {
         found->second.upstreams.clear();
         found->second.succeeded = now;
         found->second.newest = now;
@@ -42,7 +42,7 @@
 bool quarantine::is_quarantined(std::uint64_t fingerprint, kernel::time_point now) const
 {
     const auto found = entries_.find(fingerprint);
-    return found != entries_.end() && found->second.decided() && !found->second.expired(now);
+    return found != entries_.end() && is_decided(found->second) && !is_expired(found->second, now);
 }
 
 std::vector<kernel::upstream_name> quarantine::crashed_upstreams(std::uint64_t fingerprint) const
@@ -73,14 +73,14 @@
     if (entries_.size() < maximum_entries) {
         return;
     }
-    std::erase_if(entries_, [&](const auto& item) { return item.second.expired(now); });
+    std::erase_if(entries_, [&](const auto& item) { return is_expired(item.second, now); });
     if (entries_.size() < maximum_entries) {
         return;
     }
     // Undecided fingerprints go first: many single crashes must not push out a request that is known to crash.
-    const auto oldest = std::min_element(entries_.begin(), entries_.end(), [](const auto& left, const auto& right) {
-        const bool left_decided = left.second.decided();
-        const bool right_decided = right.second.decided();
+    const auto oldest = std::min_element(entries_.begin(), entries_.end(), [this](const auto& left, const auto& right) {
+        const bool left_decided = is_decided(left.second);
+        const bool right_decided = is_decided(right.second);
         return left_decided != right_decided ? right_decided : left.second.newest < right.second.newest;
     });
     entries_.erase(oldest);
--- a/libraries/health/quarantine.h
+++ b/libraries/health/quarantine.h
@@ -23,8 +23,8 @@
     request_already_blamed,
 };
 
-/// Requests that have crashed upstreams, by fingerprint. A fingerprint that was seen on two different upstreams is
-/// refused. The number of entries is bounded and they expire.
+/// Requests that have crashed upstreams, by fingerprint. A fingerprint that was seen on several different upstreams is
+/// refused; on two, unless said otherwise. The number of entries is bounded and they expire.
 class quarantine {
 public:
     static constexpr std::size_t maximum_entries = 1024;
@@ -37,6 +37,10 @@
     static constexpr kernel::duration reporting_time = std::chrono::seconds{30};
     static constexpr std::size_t maximum_reported = 128;
 
+    /// `upstreams_to_blame`: crashes of this many upstreams blame the request. Where single closed connections count as
+    /// crashes, two may be chance.
+    explicit quarantine(std::size_t upstreams_to_blame = 2) : upstreams_to_blame_{upstreams_to_blame} {}
+
     crash_attribution record(const crash_sighting& sighting, kernel::time_point now);
 
     /// The request ran without a crash, so earlier crashes and those in the next `decision_window` were not its fault.
@@ -45,30 +49,29 @@
 
     [[nodiscard]] bool is_quarantined(std::uint64_t fingerprint, kernel::time_point now) const;
 
-    /// The upstreams that the fingerprint has crashed; at most two are kept.
+    /// The upstreams that the fingerprint has crashed, at most as many as blame it.
     [[nodiscard]] std::vector<kernel::upstream_name> crashed_upstreams(std::uint64_t fingerprint) const;
 
     /// The sightings to tell other hosts.
     [[nodiscard]] std::vector<crash_sighting> sightings(kernel::time_point now) const;
 
 private:
-    static constexpr std::size_t upstreams_kept = 2;
-
     struct entry {
         std::unordered_set<kernel::upstream_name> upstreams;
         kernel::time_point newest;
         std::optional<kernel::time_point> succeeded;
+    };
 
-        [[nodiscard]] bool decided() const { return upstreams.size() >= upstreams_kept; }
+    [[nodiscard]] bool is_decided(const entry& item) const { return item.upstreams.size() >= upstreams_to_blame_; }
 
-        [[nodiscard]] bool expired(kernel::time_point now) const
-        {
-            return now - newest > (decided() ? lifetime : decision_window);
-        }
-    };
+    [[nodiscard]] bool is_expired(const entry& item, kernel::time_point now) const
+    {
+        return now - item.newest > (is_decided(item) ? lifetime : decision_window);
+    }
 
     void make_room(kernel::time_point now);
 
+    std::size_t upstreams_to_blame_;
     std::unordered_map<std::uint64_t, entry> entries_;
 };
 
--- a/libraries/platform/http_host_list.cpp
+++ b/libraries/platform/http_host_list.cpp
@@ -1,7 +1,7 @@
 #include "libraries/platform/http_host_list.h"
 
+#include "libraries/encoding/percent_encoding.h"
 #include "libraries/platform/listed_host_codec.h"
-#include "libraries/platform/percent_encoding.h"
 #include "libraries/platform/platform_events.h"
 
 namespace wisterialane::platform {
@@ -20,7 +20,7 @@
 
 kernel::result<void> http_host_list::announce(const listed_host& self)
 {
-    http::request_head head{"PUT", "/hosts/" + percent_encode(self.instance.value()), {}};
+    http::request_head head{"PUT", "/hosts/" + encoding::percent_encode(self.instance.value()), {}};
     head.headers.add("Content-Type", "application/json");
     const auto answer = client_.write(head, write_listed_host(self));
     if (!answer) {
--- a/libraries/platform/http_object_store.cpp
+++ b/libraries/platform/http_object_store.cpp
@@ -1,7 +1,7 @@
 #include "libraries/platform/http_object_store.h"
 
+#include "libraries/encoding/percent_encoding.h"
 #include "libraries/platform/absence.h"
-#include "libraries/platform/percent_encoding.h"
 #include "libraries/platform/platform_events.h"
 
 namespace wisterialane::platform {
@@ -9,7 +9,7 @@
 
 std::string object_target(std::string_view key)
 {
-    return "/objects/" + percent_encode(key);
+    return "/objects/" + encoding::percent_encode(key);
 }
 
 } // namespace
--- a/libraries/platform/http_table.cpp
+++ b/libraries/platform/http_table.cpp
@@ -1,7 +1,7 @@
 #include "libraries/platform/http_table.h"
 
+#include "libraries/encoding/percent_encoding.h"
 #include "libraries/platform/absence.h"
-#include "libraries/platform/percent_encoding.h"
 #include "libraries/platform/platform_events.h"
 
 #include <nlohmann/json.hpp>
@@ -11,12 +11,12 @@
 
 std::string table_target(std::string_view table_name)
 {
-    return "/tables/" + percent_encode(table_name);
+    return "/tables/" + encoding::percent_encode(table_name);
 }
 
 std::string row_target(std::string_view table_name, std::string_view key)
 {
-    return table_target(table_name) + "/" + percent_encode(key);
+    return table_target(table_name) + "/" + encoding::percent_encode(key);
 }
 
 /// The version in a strong entity tag.
@@ -73,8 +73,8 @@
 kernel::result<std::vector<row>> http_table::scan(std::string_view table_name, std::string_view prefix,
                                                   std::string_view after, std::size_t limit)
 {
-    const auto target = table_target(table_name) + "?prefix=" + percent_encode(prefix) +
-                        "&after=" + percent_encode(after) + "&limit=" + std::to_string(limit);
+    const auto target = table_target(table_name) + "?prefix=" + encoding::percent_encode(prefix) +
+                        "&after=" + encoding::percent_encode(after) + "&limit=" + std::to_string(limit);
     const auto answer = client_.read(target);
     if (!answer) {
         return tl::unexpected{answer.error()};
--- a/libraries/proxy/flow_environment.h
+++ b/libraries/proxy/flow_environment.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kernel/decision_log.h"
+#include "libraries/health/quarantine.h"
 #include "libraries/proxy/customer_quota.h"
 #include "libraries/proxy/fleet_retry_budget.h"
 #include "libraries/proxy/load_balancer.h"
@@ -51,6 +52,8 @@
     customer_quota quota;
     fleet_retry_budget retries;
     std::map<kernel::service_name, waiting_line> lines;
+    /// Connections that close without an answer count as crashes, so that chance alone must not reach the number.
+    health::quarantine quarantine{3};
     proxy_metrics metrics;
     kernel::decision_log log;
     /// Tells the other hosts of a failure.
--- a/libraries/proxy/message_headers.cpp
+++ b/libraries/proxy/message_headers.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <charconv>
 
+#include <xxhash.h>
+
 namespace wisterialane::proxy {
 namespace {
 
@@ -79,6 +81,15 @@
     return head;
 }
 
+std::uint64_t fingerprint_of(const http_request& request, const kernel::customer_name& customer)
+{
+    const auto add = [](std::string_view text, std::uint64_t seed) { return ::XXH64(text.data(), text.size(), seed); };
+    auto hash = add(customer.value(), 0);
+    hash = add(to_view(request.method_string()), hash);
+    hash = add(to_view(request.target()), hash);
+    return add(request.body(), hash);
+}
+
 std::vector<std::pair<std::string, std::string>> headers_for_caller(const http_fields& headers)
 {
     std::vector<std::pair<std::string, std::string>> result;
--- a/libraries/proxy/message_headers.h
+++ b/libraries/proxy/message_headers.h
@@ -5,6 +5,7 @@
 #include "libraries/proxy/wire_names.h"
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -33,6 +34,9 @@
 [[nodiscard]] std::optional<std::chrono::milliseconds> read_deadline(const http_request& request,
                                                                      const wire_names& names);
 
+/// Tells a request apart from others: equal for the same customer, method, target and body.
+[[nodiscard]] std::uint64_t fingerprint_of(const http_request& request, const kernel::customer_name& customer);
+
 [[nodiscard]] std::string_view to_view(boost::beast::string_view text);
 
 } // namespace wisterialane::proxy
--- a/libraries/proxy/peer_message.cpp
+++ b/libraries/proxy/peer_message.cpp
@@ -80,10 +80,8 @@
     }
     for (const auto& item : document.at("evidence")) {
         const auto outcome = static_cast<exchange_outcome>(item.at(1).get<int>());
-        message.evidence.push_back({kernel::upstream_name{item.at(0).get<std::string>()}, outcome});
-    }
-    for (const auto& item : document.at("crashing")) {
-        message.crashing_requests.push_back(item.get<std::uint64_t>());
+        message.evidence.push_back(
+            {kernel::upstream_name{item.at(0).get<std::string>()}, outcome, item.at(2).get<std::uint64_t>()});
     }
     return message;
 }
@@ -98,7 +96,7 @@
     }
     nlohmann::json evidence = nlohmann::json::array();
     for (const auto& item : message.evidence) {
-        evidence.push_back({item.upstream.value(), static_cast<int>(item.outcome)});
+        evidence.push_back({item.upstream.value(), static_cast<int>(item.outcome), item.fingerprint});
     }
     nlohmann::json document{{"v", format_version},
                             {"host", message.sender.host.value()},
@@ -109,8 +107,7 @@
                             {"ready", message.state.ready},
                             {"store", message.state.reaches_store},
                             {"admitted", std::move(admitted)},
-                            {"evidence", std::move(evidence)},
-                            {"crashing", message.crashing_requests}};
+                            {"evidence", std::move(evidence)}};
     if (message.relay) {
         document["relay"] = write_relay(*message.relay);
     }
--- a/libraries/proxy/peer_message.h
+++ b/libraries/proxy/peer_message.h
@@ -5,6 +5,7 @@
 #include "libraries/proxy/store_relay.h"
 #include "libraries/proxy/upstream_health.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,6 +17,8 @@
 struct shared_evidence {
     kernel::upstream_name upstream;
     exchange_outcome outcome = exchange_outcome::neutral;
+    /// The request that it worked on when its connection closed without an answer; 0 for other failures.
+    std::uint64_t fingerprint = 0;
 };
 
 /// One datagram between hosts: who the sender is, its state, and new evidence.
@@ -23,8 +26,6 @@
     host_record sender;
     host_state state;
     std::vector<shared_evidence> evidence;
-    /// Fingerprints of requests that crash the upstreams that run them.
-    std::vector<std::uint64_t> crashing_requests;
     /// From the reader of a data centre.
     std::optional<store_relay> relay;
 };
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -251,6 +251,9 @@
         if (auto* known = environment_.upstreams.find(item.upstream)) {
             known->health.record(item.outcome, now);
         }
+        if (item.fingerprint != 0) {
+            environment_.quarantine.record({item.fingerprint, item.upstream}, now);
+        }
     }
 }
 
@@ -354,7 +357,7 @@
 void proxy_host::send_state(const std::vector<kernel::socket_address>& to, std::vector<shared_evidence> evidence)
 {
     state_sent_at_ = environment_.clock();
-    channel_->send({settings_.self, own_state(), std::move(evidence), {}, std::nullopt}, to);
+    channel_->send({settings_.self, own_state(), std::move(evidence), std::nullopt}, to);
     environment_.quota.reported();
 }
 
@@ -368,7 +371,7 @@
     const auto now = environment_.clock();
     peers_.set_reaches_store(watch_->reaches_store(now));
     if (!environment_.stop.stopping() && peers_.is_reader(now)) {
-        channel_->send({settings_.self, own_state(), {}, {}, std::move(relay)}, peers_.neighbours());
+        channel_->send({settings_.self, own_state(), {}, std::move(relay)}, peers_.neighbours());
     }
 }
 
--- a/libraries/proxy/request_flow.cpp
+++ b/libraries/proxy/request_flow.cpp
@@ -97,9 +97,24 @@
     if (now >= give_up_at_) {
         return tl::unexpected{refusal{503, "no_time_left", std::nullopt}};
     }
+    if (const auto harmless = check_quarantine(now); !harmless) {
+        return harmless;
+    }
     return choose_service(now);
 }
 
+// A request that crashed several upstreams would take down the next one as well.
+request_flow::check request_flow::check_quarantine(kernel::time_point now)
+{
+    fingerprint_ =
+        fingerprint_of(session_->request(), customer_ == nullptr ? kernel::customer_name{} : customer_->name);
+    if (!use_.quarantine.is_quarantined(fingerprint_, now)) {
+        return {};
+    }
+    use_.log.write(now, line_urgency::important, proxy_event::request_blamed, {{"request", request_id_}});
+    return tl::unexpected{refusal{503, "quarantined", std::nullopt}};
+}
+
 request_flow::check request_flow::find_route(kernel::time_point now)
 {
     const auto& request = session_->request();
@@ -395,6 +410,7 @@
         use_.upstreams.mark_leaving(ended.upstream);
     }
     if (outcome == exchange_outcome::good) {
+        use_.quarantine.record_success(fingerprint_, now);
         return;
     }
     use_.log.write(now, line_urgency::important, proxy_event::attempt_failed,
@@ -406,8 +422,21 @@
                     {"status", std::to_string(result.answer.status)},
                     {"reused", result.reused ? "yes" : "no"},
                     {"elapsed_ms", to_text(now - ended.sent_at)}});
-    if (outcome != exchange_outcome::neutral && use_.share_evidence) {
-        use_.share_evidence({ended.upstream, outcome});
+    share(ended, outcome, result, now);
+}
+
+void request_flow::share(const attempt& ended, exchange_outcome outcome, const exchange_result& result,
+                         kernel::time_point now)
+{
+    if (outcome == exchange_outcome::neutral || outcome == exchange_outcome::shed) {
+        return;
+    }
+    const bool crashed = outcome == exchange_outcome::broken && result.end == exchange_end::closed;
+    if (crashed) {
+        use_.quarantine.record({fingerprint_, ended.upstream}, now);
+    }
+    if (use_.share_evidence) {
+        use_.share_evidence({ended.upstream, outcome, crashed ? fingerprint_ : 0});
     }
 }
 
--- a/libraries/proxy/request_flow.h
+++ b/libraries/proxy/request_flow.h
@@ -45,6 +45,8 @@
     [[nodiscard]] check find_route(kernel::time_point now);
     [[nodiscard]] check authenticate(kernel::time_point now);
     [[nodiscard]] check choose_service(kernel::time_point now);
+    [[nodiscard]] check check_quarantine(kernel::time_point now);
+    void share(const attempt& ended, exchange_outcome outcome, const exchange_result& result, kernel::time_point now);
     void set_time_limits();
     void arm_deadline();
 
@@ -84,6 +86,7 @@
     const traffic_customer* customer_ = nullptr;
     kernel::service_name service_;
     std::string request_id_;
+    std::uint64_t fingerprint_ = 0;
     kernel::time_point arrived_;
     /// No answer is awaited after this moment.
     kernel::time_point give_up_at_;
--- a/tests/proxy/test_platform_formats.cpp
+++ b/tests/proxy/test_platform_formats.cpp
@@ -109,7 +109,7 @@
     message.sender = {kernel::host_name{"h1"}, kernel::data_centre_name{"z"}, kernel::socket_address{"10.0.0.1:1"},
                       kernel::socket_address{"10.0.0.1:2"}};
     message.state = {kernel::instance_id{"run"}, true, true, {{kernel::customer_name{"c"}, 7}}};
-    message.evidence = {{kernel::upstream_name{"u"}, exchange_outcome::broken}};
+    message.evidence = {{kernel::upstream_name{"u"}, exchange_outcome::broken, 17}};
     message.relay = store_relay{kernel::version_number{4},
                                 store_time{77},
                                 store_revision{1},
@@ -122,6 +122,7 @@
     CHECK(decoded->state.admitted == message.state.admitted);
     CHECK(decoded->state.reaches_store);
     CHECK(decoded->evidence[0].outcome == exchange_outcome::broken);
+    CHECK(decoded->evidence[0].fingerprint == 17);
     REQUIRE(decoded->relay);
     CHECK(decoded->relay->present[0].slots == 3);
     CHECK(decoded->relay->removed[0] == kernel::upstream_name{"gone"});
--- a/tests/stand_ins/platform/request_target.cpp
+++ b/tests/stand_ins/platform/request_target.cpp
@@ -1,7 +1,7 @@
 #include "tests/stand_ins/platform/request_target.h"
 
+#include "libraries/encoding/percent_encoding.h"
 #include "libraries/http/http_events.h"
-#include "libraries/platform/percent_encoding.h"
 
 namespace wisterialane::stand_ins {
 namespace {
