--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -247,6 +247,11 @@
     if (received->relay && received->sender.data_centre == settings_.self.data_centre) {
         watch_->hear(*received->relay);
     }
+    const bool from_elsewhere = received->sender.data_centre != settings_.self.data_centre;
+    if (from_elsewhere && !received->evidence.empty() && peers_.is_offered(now)) {
+        // Hosts that stand by are not told by those of other data centres.
+        send_state(peers_.neighbours(), received->evidence);
+    }
     for (const auto& item : received->evidence) {
         if (auto* known = environment_.upstreams.find(item.upstream)) {
             known->health.record(item.outcome, now);
--- a/libraries/proxy/request_flow.cpp
+++ b/libraries/proxy/request_flow.cpp
@@ -487,8 +487,8 @@
         deliver(std::move(*fallback_));
         return;
     }
-    if (waiting && !plan_.may_have_run()) {
-        refuse({503, "overloaded", retry_when_free});
+    if (!plan_.may_have_run()) {
+        refuse({503, waiting ? "overloaded" : "unreachable", retry_when_free});
         return;
     }
     refuse({504, "deadline", std::nullopt});
