--- a/libraries/proxy/peer_directory.cpp
+++ b/libraries/proxy/peer_directory.cpp
@@ -36,17 +36,20 @@
     auto& item = peers_[record.host];
     result.newly_heard = !is_live(item, now);
     const bool restarted = item.state.instance != state.instance;
+    auto counts = restarted ? admitted_counts{} : std::move(item.state.admitted);
     for (const auto& [customer, count] : state.admitted) {
-        const auto before = item.state.admitted.find(customer);
-        const auto known = restarted || before == item.state.admitted.end() ? 0 : before->second;
+        const auto known = counts[customer];
         // After a long silence the old count says nothing about the present window.
         const bool countable = item.heard && !result.newly_heard;
         if (count > known && countable) {
             result.admitted[customer] = count - known;
         }
+        counts[customer] = std::max(known, count);
     }
     item.record = record;
     item.state = state;
+    // A message without counts says nothing about them.
+    item.state.admitted = std::move(counts);
     item.heard = now;
     return result;
 }
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -25,7 +25,9 @@
 constexpr milliseconds ready_age{2500};
 constexpr milliseconds address_keep{3000};
 /// A process that has just started has not yet heard all others.
-constexpr milliseconds settling_time{2500};
+constexpr milliseconds settling_time{2000};
+/// By then the hosts of a data centre that started together have told one another.
+constexpr milliseconds reader_settling_time{1200};
 /// Hosts that are assumed to take requests before the others are heard.
 constexpr std::size_t assumed_hosts = 8;
 constexpr milliseconds stop_check{50};
@@ -94,11 +96,11 @@
         store_watch::hooks{
             [this](auto configuration) { return apply(std::move(configuration)); },
             [this] { return environment_.routing ? environment_.routing->version() : kernel::version_number{}; },
-            [this](auto now) { return peers_.is_reader(now); }, [this](auto relay) { send_relay(std::move(relay)); },
+            [this](auto now) { return is_reader(now); }, [this](auto relay) { send_relay(std::move(relay)); },
             environment_.clock});
     channel_ = std::make_shared<peer_channel>(context, [this](const auto& message) { on_peer_message(message); });
     environment_.share_evidence = [this](const shared_evidence& evidence) {
-        send_state(peers_.audience(environment_.clock()), {evidence});
+        send_evidence(peers_.audience(environment_.clock()), {evidence});
     };
     environment_.report_admissions = [this] { report_admissions(); };
     reload(settings_.reloadable);
@@ -250,7 +252,7 @@
     const bool from_elsewhere = received->sender.data_centre != settings_.self.data_centre;
     if (from_elsewhere && !received->evidence.empty() && peers_.is_offered(now)) {
         // Hosts that stand by are not told by those of other data centres.
-        send_state(peers_.neighbours(), received->evidence);
+        send_evidence(peers_.neighbours(), received->evidence);
     }
     for (const auto& item : received->evidence) {
         if (auto* known = environment_.upstreams.find(item.upstream)) {
@@ -287,7 +289,7 @@
             for (const auto& record : reading->hosts) {
                 peers_.add(record);
             }
-            send_state(peers_.everyone(), {});
+            send_state(peers_.neighbours());
         }
         after(hosts_pause_, reading ? hosts_pause : registration_retry, &proxy_host::read_hosts);
     });
@@ -300,6 +302,11 @@
     update_fleet_size(now);
     peers_.set_reaches_store(!environment_.stop.stopping() && watch_->reaches_store(now));
     send_state_if_due(now);
+    const bool reader = is_reader(now);
+    if (reader && !reader_) {
+        watch_->begin_reading();
+    }
+    reader_ = reader;
     environment_.connections.expire(now);
     for (auto& [service, line] : environment_.lines) {
         line.serve();
@@ -323,12 +330,24 @@
                             {"stopping", environment_.stop.stopping() ? "yes" : "no"},
                             {"age_ms", age ? std::to_string(std::chrono::duration_cast<milliseconds>(*age).count())
                                            : std::string{"unknown"}}});
-    send_state(peers_.everyone(), {});
+    // Hosts of other data centres know those only that callers are sent to.
+    send_state(offered_ ? peers_.everyone() : peers_.neighbours());
+}
+
+// Right after the start no other host is heard, and each would take itself for the first of its data centre.
+bool proxy_host::is_settling(kernel::time_point now) const
+{
+    return now - started_at_ < settling_time;
+}
+
+bool proxy_host::is_reader(kernel::time_point now) const
+{
+    return now - started_at_ >= reader_settling_time && peers_.is_reader(now);
 }
 
 void proxy_host::update_fleet_size(kernel::time_point now)
 {
-    const bool settling = now - started_at_ < settling_time;
+    const bool settling = is_settling(now);
     const auto expected = peers_.expected_count();
     const auto hosts = settling ? std::max(expected, assumed_hosts) : expected;
     environment_.quota.set_hosts(hosts, !settling && !peers_.some_are_silent(now));
@@ -341,12 +360,12 @@
 // stand by.
 void proxy_host::send_state_if_due(kernel::time_point now)
 {
-    const bool offered = peers_.is_offered(now);
+    const bool offered = !is_settling(now) && peers_.is_offered(now);
     if (offered && !offered_) {
-        send_state(peers_.everyone(), {});
+        send_state(peers_.everyone());
     }
     else if (now - state_sent_at_ >= (offered ? state_pause : standby_state_pause)) {
-        send_state(peers_.audience(now), {});
+        send_state(peers_.audience(now));
     }
     offered_ = offered;
 }
@@ -355,17 +374,25 @@
 {
     const auto now = environment_.clock();
     if (now - state_sent_at_ >= urgent_pause && environment_.quota.report_is_urgent(now)) {
-        send_state(peers_.audience(now), {});
+        send_state(peers_.audience(now));
     }
 }
 
-void proxy_host::send_state(const std::vector<kernel::socket_address>& to, std::vector<shared_evidence> evidence)
+void proxy_host::send_state(const std::vector<kernel::socket_address>& to)
 {
     state_sent_at_ = environment_.clock();
-    channel_->send({settings_.self, own_state(), std::move(evidence), std::nullopt}, to);
+    channel_->send({settings_.self, own_state(), {}, std::nullopt}, to);
     environment_.quota.reported();
 }
 
+// Without counts: the next state has them.
+void proxy_host::send_evidence(const std::vector<kernel::socket_address>& to, std::vector<shared_evidence> evidence)
+{
+    auto state = own_state();
+    state.admitted.clear();
+    channel_->send({settings_.self, std::move(state), std::move(evidence), std::nullopt}, to);
+}
+
 host_state proxy_host::own_state() const
 {
     return {instance_, ready_, watch_->reaches_store(environment_.clock()), environment_.quota.admitted()};
@@ -375,8 +402,10 @@
 {
     const auto now = environment_.clock();
     peers_.set_reaches_store(watch_->reaches_store(now));
-    if (!environment_.stop.stopping() && peers_.is_reader(now)) {
-        channel_->send({settings_.self, own_state(), {}, std::move(relay)}, peers_.neighbours());
+    if (!environment_.stop.stopping() && is_reader(now)) {
+        auto state = own_state();
+        state.admitted.clear();
+        channel_->send({settings_.self, std::move(state), {}, std::move(relay)}, peers_.neighbours());
     }
 }
 
--- a/libraries/proxy/proxy_host.h
+++ b/libraries/proxy/proxy_host.h
@@ -76,7 +76,10 @@
     void tick();
     void update_readiness(kernel::time_point now);
     void update_fleet_size(kernel::time_point now);
-    void send_state(const std::vector<kernel::socket_address>& to, std::vector<shared_evidence> evidence);
+    [[nodiscard]] bool is_reader(kernel::time_point now) const;
+    [[nodiscard]] bool is_settling(kernel::time_point now) const;
+    void send_state(const std::vector<kernel::socket_address>& to);
+    void send_evidence(const std::vector<kernel::socket_address>& to, std::vector<shared_evidence> evidence);
     void send_state_if_due(kernel::time_point now);
     void report_admissions();
     void send_relay(store_relay relay);
@@ -104,6 +107,7 @@
     bool registered_ = false;
     bool ready_ = false;
     bool offered_ = false;
+    bool reader_ = false;
 };
 
 } // namespace wisterialane::proxy
--- a/libraries/proxy/store_watch.cpp
+++ b/libraries/proxy/store_watch.cpp
@@ -11,13 +11,16 @@
 using milliseconds = std::chrono::milliseconds;
 
 /// How long a call waits for a new version. Each answer, also one without news, confirms the version in force.
-constexpr milliseconds configuration_wait{1000};
+constexpr milliseconds configuration_wait{900};
 constexpr milliseconds upstreams_wait{2500};
 /// Changes that come in quick succession are read together.
 constexpr milliseconds upstreams_pause{100};
 constexpr milliseconds retry_pause{300};
-/// A host that hears no relay for this time reads by itself. The reader relays after each answer.
-constexpr milliseconds relay_silence{1500};
+/// A host that hears no relay for this time reads by itself. The reader relays after each answer, at least once in
+/// `configuration_wait`; a new version has to be in force within two seconds also when the reader fails.
+constexpr milliseconds relay_silence{1200};
+/// The hosts of a data centre that start together know their reader after this time.
+constexpr milliseconds election_time{1000};
 /// A host whose last call succeeded this long ago still counts as one that reaches the store; those that rely on a
 /// reader make no calls.
 constexpr milliseconds store_memory{60000};
@@ -32,6 +35,8 @@
 
 void store_watch::start()
 {
+    // After its first reads a host waits for the reader as if it had just been heard.
+    relay_heard_at_ = use_.clock() + election_time;
     watch_configuration();
     watch_upstreams();
 }
@@ -53,10 +58,24 @@
     });
 }
 
-bool store_watch::relies_on_reader(kernel::time_point now) const
+kernel::duration store_watch::patience(kernel::time_point now) const
 {
-    return relay_heard_at_ && now - *relay_heard_at_ < relay_silence && configuration_revision_ &&
-           upstreams_revision_ && !use_.is_reader(now);
+    if (!relay_heard_at_ || !configuration_revision_ || !upstreams_revision_ || use_.is_reader(now)) {
+        return kernel::duration::zero();
+    }
+    return std::max<kernel::duration>(kernel::duration::zero(), *relay_heard_at_ + relay_silence - now);
+}
+
+void store_watch::begin_reading()
+{
+    if (!stopped_ && !reading_configuration_ && configuration_revision_) {
+        configuration_pause_.cancel();
+        watch_configuration();
+    }
+    if (!stopped_ && !reading_upstreams_ && upstreams_revision_) {
+        upstreams_pause_.cancel();
+        watch_upstreams();
+    }
 }
 
 bool store_watch::reaches_store(kernel::time_point now) const
@@ -66,8 +85,8 @@
 
 void store_watch::watch_configuration()
 {
-    if (relies_on_reader(use_.clock())) {
-        wait(configuration_pause_, relay_silence, &store_watch::watch_configuration);
+    if (const auto left = patience(use_.clock()); left > kernel::duration::zero()) {
+        wait(configuration_pause_, std::chrono::ceil<milliseconds>(left), &store_watch::watch_configuration);
         return;
     }
     reading_configuration_ = true;
@@ -108,8 +127,8 @@
 
 void store_watch::watch_upstreams()
 {
-    if (relies_on_reader(use_.clock())) {
-        wait(upstreams_pause_, relay_silence, &store_watch::watch_upstreams);
+    if (const auto left = patience(use_.clock()); left > kernel::duration::zero()) {
+        wait(upstreams_pause_, std::chrono::ceil<milliseconds>(left), &store_watch::watch_upstreams);
         return;
     }
     reading_upstreams_ = true;
--- a/libraries/proxy/store_watch.h
+++ b/libraries/proxy/store_watch.h
@@ -41,6 +41,12 @@
     /// The reader of the data centre has read something.
     void hear(const store_relay& relay);
 
+    /// This host is the reader of its data centre from now on.
+    void begin_reading();
+
+    /// How much longer this host waits for the reader before it reads by itself; zero if it reads already.
+    [[nodiscard]] kernel::duration patience(kernel::time_point now) const;
+
     /// Whether the last call to the store succeeded, and not long ago.
     [[nodiscard]] bool reaches_store(kernel::time_point now) const;
 
@@ -52,7 +58,6 @@
     void on_configuration(const kernel::result<configuration_reading>& reading);
     void watch_upstreams();
     void on_upstreams(const kernel::result<upstreams_reading>& reading, bool complete);
-    [[nodiscard]] bool relies_on_reader(kernel::time_point now) const;
     void relay_changes(store_revision after, std::vector<upstream_record> present,
                        std::vector<kernel::upstream_name> removed);
     void apply_changes(const std::vector<upstream_record>& present, const std::vector<kernel::upstream_name>& removed,
