Proxy: Let more hosts take callers when those that do have many requests

Cause: one host of a data centre takes all its callers; with ten times the requests, as in a larger fleet, a small host could not. Each host reports its requests times 0.5 ms as a part of its processor share, and the offered number keeps the sum below 0.3 each.

--- a/libraries/proxy/flow_environment.h
+++ b/libraries/proxy/flow_environment.h
@@ -14,6 +14,7 @@
 #include "libraries/proxy/upstream_directory.h"
 #include "libraries/proxy/waiting_line.h"
 #include "libraries/proxy/weighted_selector.h"
+#include "libraries/proxy/window_counter.h"
 #include "libraries/proxy/wire_names.h"
 
 #include <functional>
@@ -61,6 +62,8 @@
     /// A request of a customer was admitted; the other hosts may have to know at once.
     std::function<void()> report_admissions;
     stop_plan stop;
+    /// Requests of callers that have arrived.
+    window_counter requests;
     /// Requests that are being served.
     std::size_t in_flight = 0;
 };
--- a/libraries/proxy/peer_directory.cpp
+++ b/libraries/proxy/peer_directory.cpp
@@ -1,6 +1,7 @@
 #include "libraries/proxy/peer_directory.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 #include <xxhash.h>
@@ -8,6 +9,10 @@
 namespace wisterialane::proxy {
 namespace {
 
+/// Hosts that take callers should use this part of their processor share, so that a burst or the loss of one of them
+/// can be borne.
+constexpr double target_load = 0.3;
+
 std::uint64_t rank_of(const host_record& record)
 {
     const auto& name = record.host.value();
@@ -73,7 +78,7 @@
     }
     std::sort(ready.begin(), ready.end(),
               [](const auto* left, const auto* right) { return rank_of(*left) < rank_of(*right); });
-    ready.resize(std::min(ready.size(), use_.hosts_per_data_centre));
+    ready.resize(std::min(ready.size(), needed_in(data_centre, now)));
     return ready;
 }
 
@@ -116,7 +121,18 @@
     return std::find(offered.begin(), offered.end(), &use_.self) != offered.end();
 }
 
-std::size_t peer_directory::expected_count() const
+std::size_t peer_directory::needed_in(const kernel::data_centre_name& data_centre, kernel::time_point now) const
+{
+    double load = data_centre == use_.self.data_centre ? load_ : 0;
+    for (const auto& [name, item] : peers_) {
+        if (item.record.data_centre == data_centre && is_live(item, now)) {
+            load += item.state.load;
+        }
+    }
+    return std::max(use_.hosts_per_data_centre, static_cast<std::size_t>(std::ceil(load / target_load)));
+}
+
+std::size_t peer_directory::expected_count(kernel::time_point now) const
 {
     std::map<kernel::data_centre_name, std::size_t> known{{use_.self.data_centre, 1}};
     for (const auto& [name, item] : peers_) {
@@ -124,7 +140,7 @@
     }
     std::size_t count = 0;
     for (const auto& [data_centre, hosts] : known) {
-        count += std::min(hosts, use_.hosts_per_data_centre);
+        count += std::min(hosts, needed_in(data_centre, now));
     }
     return count;
 }
--- a/libraries/proxy/peer_directory.h
+++ b/libraries/proxy/peer_directory.h
@@ -19,6 +19,8 @@
     bool ready = false;
     /// Reads the store, or could.
     bool reaches_store = false;
+    /// Part of its processor share that it uses, 0 to 1 and above.
+    double load = 0;
     admitted_counts admitted;
 };
 
@@ -30,7 +32,7 @@
 public:
     struct options {
         host_record self;
-        /// Hosts of one data centre that callers are sent to.
+        /// Hosts of one data centre that callers are sent to at least.
         std::size_t hosts_per_data_centre = 1;
         /// A host that is silent for longer is not offered to callers.
         kernel::duration silence = std::chrono::milliseconds{2500};
@@ -58,6 +60,8 @@
     /// A message of another host.
     news hear(const host_record& record, const host_state& state, kernel::time_point now);
 
+    void set_load(double load) { load_ = load; }
+
     /// Whether this host takes requests; a host that does not is not offered.
     void set_ready(bool ready) { ready_ = ready; }
 
@@ -80,7 +84,7 @@
 
     /// Hosts that callers are sent to, over all data centres, when enough of the known hosts live. A host that begins
     /// to take callers has not heard those of other data centres yet, so this does not depend on who is heard.
-    [[nodiscard]] std::size_t expected_count() const;
+    [[nodiscard]] std::size_t expected_count(kernel::time_point now) const;
 
     /// Whether a host that took requests a moment ago is silent now.
     [[nodiscard]] bool some_are_silent(kernel::time_point now) const;
@@ -100,7 +104,10 @@
     [[nodiscard]] std::vector<kernel::data_centre_name> data_centres() const;
 
     options use_;
+    [[nodiscard]] std::size_t needed_in(const kernel::data_centre_name& data_centre, kernel::time_point now) const;
+
     bool ready_ = false;
+    double load_ = 0;
     bool reaches_store_ = false;
     std::map<kernel::host_name, peer> peers_;
 };
--- a/libraries/proxy/peer_message.cpp
+++ b/libraries/proxy/peer_message.cpp
@@ -9,6 +9,7 @@
 
 /// Messages of another format version are not read.
 constexpr int format_version = 1;
+constexpr double percent = 100;
 
 nlohmann::json write_upstream(const upstream_record& record)
 {
@@ -72,6 +73,7 @@
     message.state.instance = kernel::instance_id{document.at("run").get<std::string>()};
     message.state.ready = document.at("ready").get<bool>();
     message.state.reaches_store = document.at("store").get<bool>();
+    message.state.load = document.at("load").get<int>() / percent;
     if (const auto relay = document.find("relay"); relay != document.end()) {
         message.relay = read_relay(*relay);
     }
@@ -106,6 +108,7 @@
                             {"run", message.state.instance.value()},
                             {"ready", message.state.ready},
                             {"store", message.state.reaches_store},
+                            {"load", static_cast<int>(message.state.load * percent)},
                             {"admitted", std::move(admitted)},
                             {"evidence", std::move(evidence)}};
     if (message.relay) {
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -26,6 +26,9 @@
 constexpr milliseconds address_keep{3000};
 /// A process that has just started has not yet heard all others.
 constexpr milliseconds settling_time{2000};
+/// Processor time that a request takes from its arrival to its answer, retries included; see docs/CAPACITY.md.
+constexpr std::chrono::duration<double> processor_time_of_request{0.0005};
+constexpr std::chrono::seconds load_window{5};
 /// By then the hosts of a data centre that started together have told one another.
 constexpr milliseconds reader_settling_time{1200};
 /// Hosts that are assumed to take requests before the others are heard.
@@ -162,6 +165,7 @@
 
 void proxy_host::handle_request(const std::shared_ptr<caller_session>& session)
 {
+    environment_.requests.add(environment_.clock());
     std::make_shared<request_flow>(environment_, session)->start();
 }
 
@@ -298,6 +302,7 @@
 void proxy_host::tick()
 {
     const auto now = environment_.clock();
+    peers_.set_load(load(now));
     update_readiness(now);
     update_fleet_size(now);
     peers_.set_reaches_store(!environment_.stop.stopping() && watch_->reaches_store(now));
@@ -340,6 +345,13 @@
     return now - started_at_ < settling_time;
 }
 
+double proxy_host::load(kernel::time_point now) const
+{
+    const std::chrono::duration<double> span = load_window;
+    const auto rate = static_cast<double>(environment_.requests.count(now, load_window)) / span.count();
+    return rate * processor_time_of_request.count() / settings_.processor_share;
+}
+
 bool proxy_host::is_reader(kernel::time_point now) const
 {
     return now - started_at_ >= reader_settling_time && peers_.is_reader(now);
@@ -348,7 +360,7 @@
 void proxy_host::update_fleet_size(kernel::time_point now)
 {
     const bool settling = is_settling(now);
-    const auto expected = peers_.expected_count();
+    const auto expected = peers_.expected_count(now);
     const auto hosts = settling ? std::max(expected, assumed_hosts) : expected;
     environment_.quota.set_hosts(hosts, !settling && !peers_.some_are_silent(now));
     const auto all = peers_.peers().size() + 1;
@@ -395,7 +407,8 @@
 
 host_state proxy_host::own_state() const
 {
-    return {instance_, ready_, watch_->reaches_store(environment_.clock()), environment_.quota.admitted()};
+    const auto now = environment_.clock();
+    return {instance_, ready_, watch_->reaches_store(now), load(now), environment_.quota.admitted()};
 }
 
 void proxy_host::send_relay(store_relay relay)
--- a/libraries/proxy/proxy_host.h
+++ b/libraries/proxy/proxy_host.h
@@ -37,6 +37,8 @@
     tcp::endpoint peers;
     std::optional<tcp::endpoint> metrics;
     std::size_t hosts_per_data_centre = 1;
+    /// Processor time that the process may use, in cores.
+    double processor_share = 1;
     wire_names names;
     /// The answer with addresses for callers, and how long they may keep it.
     std::function<std::string(const std::vector<kernel::socket_address>&, std::chrono::milliseconds)> render_addresses;
@@ -76,6 +78,7 @@
     void tick();
     void update_readiness(kernel::time_point now);
     void update_fleet_size(kernel::time_point now);
+    [[nodiscard]] double load(kernel::time_point now) const;
     [[nodiscard]] bool is_reader(kernel::time_point now) const;
     [[nodiscard]] bool is_settling(kernel::time_point now) const;
     void send_state(const std::vector<kernel::socket_address>& to);
--- /dev/null
+++ b/tests/proxy/test_peer_directory.cpp
@@ -0,0 +1,127 @@
+#include "libraries/proxy/peer_directory.h"
+#include "tests/proxy/proxy_fixture.h"
+
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+namespace wisterialane::proxy {
+namespace {
+
+host_record make_host(const std::string& name, const std::string& data_centre)
+{
+    return {kernel::host_name{name}, kernel::data_centre_name{data_centre}, kernel::socket_address{name + ":1"},
+            kernel::socket_address{name + ":2"}};
+}
+
+/// Four hosts here and two elsewhere, each with its own view.
+struct fleet_fixture {
+    kernel::time_point now = test_start;
+    std::vector<host_record> records;
+    std::vector<peer_directory> hosts;
+    std::vector<host_state> states;
+
+    fleet_fixture()
+    {
+        for (const auto* name : {"h0", "h1", "h2", "h3"}) {
+            records.push_back(make_host(name, "here"));
+        }
+        records.push_back(make_host("e0", "elsewhere"));
+        records.push_back(make_host("e1", "elsewhere"));
+        for (const auto& record : records) {
+            hosts.emplace_back(peer_directory::options{record});
+            states.push_back({kernel::instance_id{record.host.value()}, true, true, 0, {}});
+        }
+    }
+
+    /// Every host hears every other, but for those in `silent`.
+    void talk(const std::vector<std::size_t>& silent = {})
+    {
+        for (std::size_t to = 0; to < hosts.size(); ++to) {
+            hosts[to].set_ready(states[to].ready);
+            hosts[to].set_reaches_store(states[to].reaches_store);
+            hosts[to].set_load(states[to].load);
+            for (std::size_t from = 0; from < hosts.size(); ++from) {
+                if (std::find(silent.begin(), silent.end(), from) == silent.end()) {
+                    hosts[to].hear(records[from], states[from], now);
+                }
+            }
+        }
+    }
+
+    [[nodiscard]] std::vector<kernel::socket_address> addresses(std::size_t host) const
+    {
+        return hosts[host].addresses_for(kernel::data_centre_name{"here"}, now);
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(fleet_fixture, "peer_directory: all hosts live: they agree on the one that callers use")
+{
+    talk();
+    REQUIRE(addresses(0).size() == 1);
+    for (std::size_t host = 1; host < hosts.size(); ++host) {
+        CHECK(addresses(host) == addresses(0));
+    }
+    CHECK(hosts[0].expected_count(now) == 2);
+}
+
+// Guards against callers that are sent to a host that is gone.
+TEST_CASE_FIXTURE(fleet_fixture, "peer_directory: the host that callers use falls silent: another takes its place")
+{
+    talk();
+    const auto before = addresses(0);
+    std::size_t first = 0;
+    while (records[first].caller_address != before[0]) {
+        ++first;
+    }
+    now += seconds{3};
+    talk({first});
+    const auto witness = (first + 1) % 4;
+    REQUIRE(addresses(witness).size() == 1);
+    CHECK(addresses(witness) != before);
+    CHECK(hosts[witness].some_are_silent(now) == !states[first].admitted.empty());
+}
+
+// Guards against hosts that are overwhelmed in a larger fleet while others stand by.
+TEST_CASE_FIXTURE(fleet_fixture, "peer_directory: busy host: others join it")
+{
+    states[0].load = 0.8;
+    talk();
+    CHECK(addresses(1).size() == 3);
+    CHECK(hosts[1].expected_count(now) == 4);
+}
+
+TEST_CASE_FIXTURE(fleet_fixture, "peer_directory: several hosts reach the store: exactly one here reads it")
+{
+    talk();
+    const auto readers = [this] {
+        return std::count_if(hosts.begin(), hosts.begin() + 4,
+                             [this](const auto& host) { return host.is_reader(now); });
+    };
+    CHECK(readers() == 1);
+    for (std::size_t host = 0; host < 4; ++host) {
+        if (hosts[host].is_reader(now)) {
+            states[host].reaches_store = false;
+            break;
+        }
+    }
+    talk();
+    CHECK(readers() == 1);
+}
+
+// Guards against counts that are lost or counted twice when messages without counts come between.
+TEST_CASE_FIXTURE(fleet_fixture, "peer_directory: counts, none, counts: the difference is told once")
+{
+    const kernel::customer_name customer{"c"};
+    states[1].admitted[customer] = 5;
+    hosts[0].hear(records[1], states[1], now);
+    auto without = states[1];
+    without.admitted.clear();
+    CHECK(hosts[0].hear(records[1], without, now).admitted.empty());
+    states[1].admitted[customer] = 8;
+    CHECK(hosts[0].hear(records[1], states[1], now).admitted.at(customer) == 3);
+}
+
+} // namespace wisterialane::proxy
--- a/tests/proxy/test_platform_formats.cpp
+++ b/tests/proxy/test_platform_formats.cpp
@@ -108,7 +108,7 @@
     peer_message message;
     message.sender = {kernel::host_name{"h1"}, kernel::data_centre_name{"z"}, kernel::socket_address{"10.0.0.1:1"},
                       kernel::socket_address{"10.0.0.1:2"}};
-    message.state = {kernel::instance_id{"run"}, true, true, {{kernel::customer_name{"c"}, 7}}};
+    message.state = {kernel::instance_id{"run"}, true, true, 0.25, {{kernel::customer_name{"c"}, 7}}};
     message.evidence = {{kernel::upstream_name{"u"}, exchange_outcome::broken, 17}};
     message.relay = store_relay{kernel::version_number{4},
                                 store_time{77},
@@ -121,6 +121,7 @@
     CHECK(decoded->sender.peer_address == message.sender.peer_address);
     CHECK(decoded->state.admitted == message.state.admitted);
     CHECK(decoded->state.reaches_store);
+    CHECK(decoded->state.load == doctest::Approx(0.25));
     CHECK(decoded->evidence[0].outcome == exchange_outcome::broken);
     CHECK(decoded->evidence[0].fingerprint == 17);
     REQUIRE(decoded->relay);
