--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -5,6 +5,7 @@
 #include "libraries/proxy/request_flow.h"
 
 #include <algorithm>
+#include <map>
 #include <random>
 
 namespace wisterialane::proxy {
@@ -136,8 +137,8 @@
             .and_then([this] { return listen(readiness_, settings_.readiness, &proxy_host::answer_readiness); })
             .and_then([this] { return listen(addresses_, settings_.addresses, &proxy_host::answer_addresses); })
             .and_then([this] { return listen(callers_, settings_.callers, &proxy_host::handle_request); });
-    if (opened && settings_.metrics) {
-        opened = listen(metrics_, *settings_.metrics, &proxy_host::answer_metrics);
+    if (opened && settings_.metrics_port != 0) {
+        opened = listen(metrics_, {settings_.address, settings_.metrics_port}, &proxy_host::answer_metrics);
     }
     if (!opened) {
         return opened;
@@ -196,9 +197,27 @@
 
 void proxy_host::answer_metrics(const std::shared_ptr<caller_session>& session)
 {
+    refresh_gauges(environment_.clock());
     session->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, environment_.metrics.render(), false});
 }
 
+void proxy_host::refresh_gauges(kernel::time_point now)
+{
+    auto& metrics = environment_.metrics;
+    std::map<std::string_view, std::size_t> states{{"trusted", 0}, {"trial", 0}, {"suspected", 0}, {"leaving", 0}};
+    for (const auto& [id, item] : environment_.upstreams.all()) {
+        ++states[item.leaving ? "leaving" : to_name(item.health.state(now))];
+    }
+    for (const auto& [state, count] : states) {
+        metrics.set_upstreams(state, count);
+    }
+    if (environment_.routing) {
+        const auto age = environment_.confirmed.age(now).value_or(now - started_at_);
+        metrics.set_configuration(environment_.routing->version(), age);
+    }
+    metrics.set_lines_left_out(environment_.log.left_out());
+}
+
 bool proxy_host::apply(traffic_configuration configuration)
 {
     const auto now = environment_.clock();
--- a/libraries/proxy/proxy_host.h
+++ b/libraries/proxy/proxy_host.h
@@ -9,6 +9,7 @@
 #include "libraries/proxy/store_watch.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -35,7 +36,10 @@
     tcp::endpoint readiness;
     tcp::endpoint addresses;
     tcp::endpoint peers;
-    std::optional<tcp::endpoint> metrics;
+    /// The address that the host has on the network.
+    boost::asio::ip::address address;
+    /// Port for metrics at that address; 0 for none.
+    std::uint16_t metrics_port = 0;
     std::size_t hosts_per_data_centre = 1;
     /// Processor time that the process may use, in cores.
     double processor_share = 1;
@@ -69,6 +73,7 @@
     kernel::result<void> listen(std::shared_ptr<caller_listener>& listener, const tcp::endpoint& address,
                                 void (proxy_host::*handler)(const std::shared_ptr<caller_session>&));
 
+    void refresh_gauges(kernel::time_point now);
     [[nodiscard]] bool apply(traffic_configuration configuration);
     void on_directory_change(const upstream_record& record, directory_change change);
     void on_peer_message(const kernel::result<peer_message>& received);
--- a/libraries/proxy/upstream_health.cpp
+++ b/libraries/proxy/upstream_health.cpp
@@ -65,6 +65,19 @@
     return "neutral";
 }
 
+std::string_view to_name(trust state)
+{
+    switch (state) {
+    case trust::trusted:
+        return "trusted";
+    case trust::trial:
+        return "trial";
+    case trust::suspected:
+        break;
+    }
+    return "suspected";
+}
+
 void upstream_health::record(exchange_outcome outcome, kernel::time_point now)
 {
     if (outcome == exchange_outcome::neutral) {
--- a/libraries/proxy/upstream_health.h
+++ b/libraries/proxy/upstream_health.h
@@ -26,6 +26,8 @@
 
 enum class trust { trusted, trial, suspected };
 
+[[nodiscard]] std::string_view to_name(trust state);
+
 /// A suspected upstream gets no work for this time at least.
 inline constexpr kernel::duration minimum_ban = std::chrono::milliseconds{1500};
 
--- a/utilities/wisterialane/edge_command.cpp
+++ b/utilities/wisterialane/edge_command.cpp
@@ -31,6 +31,7 @@
 struct edge_options {
     std::string settings_file;
     std::size_t hosts_per_data_centre = 1;
+    std::uint16_t metrics_port = 0;
     bool check_only = false;
 };
 
@@ -42,7 +43,9 @@
     add("settings-file", options::value(&use.settings_file),
         "the platform's settings file (default: from the platform's environment variable)");
     add("hosts-per-data-centre", options::value(&use.hosts_per_data_centre)->default_value(1),
-        "hosts of a data centre that callers are sent to; the others stand by");
+        "hosts of a data centre that callers are sent to at least; the others stand by");
+    add("metrics-port", options::value(&use.metrics_port)->default_value(0),
+        "port for GET /metrics at the host's address; 0 for none");
     add("check-settings", options::bool_switch(&use.check_only), "check the settings and exit");
     return description;
 }
@@ -70,6 +73,7 @@
     auto settings = platform_adapter::read_node_settings(*text);
     if (settings) {
         settings->hosts_per_data_centre = use.hosts_per_data_centre;
+        settings->metrics_port = use.metrics_port;
     }
     return settings;
 }
@@ -179,6 +183,10 @@
         use.settings_file.empty() && path != nullptr) {
         use.settings_file = path;
     }
+    if (use.hosts_per_data_centre == 0) {
+        report({proxy_event::invalid_limit, "--hosts-per-data-centre"});
+        return faulty_settings;
+    }
     const auto settings = load_settings(use);
     if (!settings) {
         report(settings.error());
