--- a/libraries/proxy/caller_session.cpp
+++ b/libraries/proxy/caller_session.cpp
@@ -73,7 +73,7 @@
     stream_.expires_after(hooks_->limits().idle_timeout);
     stream_.async_read_some(buffer_.prepare(read_bytes),
                             [self = shared_from_this()](error_code failed, std::size_t count) {
-                                if (failed) {
+                                if (failed || self->aborted_) {
                                     return;
                                 }
                                 self->buffer_.commit(count);
@@ -245,6 +245,7 @@
 
 void caller_session::abort()
 {
+    aborted_ = true;
     departed_ = nullptr;
     error_code ignored;
     stream_.socket().close(ignored);
--- a/libraries/proxy/caller_session.h
+++ b/libraries/proxy/caller_session.h
@@ -95,6 +95,8 @@
     std::string outgoing_head_;
     std::string outgoing_body_;
     bool idle_ = true;
+    /// Closed by this side; reads that had completed before are not acted on.
+    bool aborted_ = false;
     bool answering_ = false;
     bool keep_alive_ = true;
 };
--- /dev/null
+++ b/tests/proxy/test_caller_session.cpp
@@ -0,0 +1,36 @@
+#include "libraries/proxy/caller_session.h"
+#include "tests/proxy/proxy_fixture.h"
+
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+namespace wisterialane::proxy {
+
+// Guards against a request that is passed on although its connection was closed at the same moment: its bytes had been
+// read, but their handler had not run yet.
+TEST_CASE("caller_session: closed while a request has just been read: the request is not handled")
+{
+    io_context context{1};
+    using acceptor_type = boost::asio::basic_socket_acceptor<tcp, io_context::executor_type>;
+    acceptor_type acceptor{context.get_executor(), tcp::endpoint{boost::asio::ip::address_v4::loopback(), 0}};
+    tcp_stream::socket_type caller{context.get_executor()};
+    caller.connect(acceptor.local_endpoint());
+    int handled = 0;
+    const auto hooks = std::make_shared<session_hooks>();
+    hooks->handle = [&handled](const auto&) { ++handled; };
+    hooks->limits = [] { return caller_limits{}; };
+    hooks->closing = [] { return true; };
+    hooks->clock = [] { return kernel::boot_clock::now(); };
+    const auto session = std::make_shared<caller_session>(acceptor.accept(), hooks);
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    boost::asio::write(caller, boost::asio::buffer(request));
+    // The bytes are there, so that the read completes at once and only its handler is pending.
+    context.run_for(milliseconds{50});
+    context.restart();
+    session->start();
+    session->close_if_idle();
+    context.run_for(milliseconds{200});
+    CHECK(handled == 0);
+}
+
+} // namespace wisterialane::proxy
--- a/tests/stand_ins/platform/request_target.cpp
+++ b/tests/stand_ins/platform/request_target.cpp
@@ -35,7 +35,7 @@
     const auto question = text.find('?');
     for (const auto segment :
          split(text.substr(1, question == std::string_view::npos ? question : question - 1), '/')) {
-        auto decoded = platform::percent_decode(segment);
+        auto decoded = encoding::percent_decode(segment);
         if (!decoded) {
             return malformed(text);
         }
@@ -46,7 +46,7 @@
     }
     for (const auto parameter : split(text.substr(question + 1), '&')) {
         const auto equals = parameter.find('=');
-        auto value = platform::percent_decode(equals == std::string_view::npos ? "" : parameter.substr(equals + 1));
+        auto value = encoding::percent_decode(equals == std::string_view::npos ? "" : parameter.substr(equals + 1));
         if (!value) {
             return malformed(text);
         }
