--- a/libraries/proxy/stop_plan.cpp
+++ b/libraries/proxy/stop_plan.cpp
@@ -7,8 +7,11 @@
 constexpr kernel::duration last_requests = std::chrono::milliseconds{1500};
 /// The process ends by itself this much before the kill.
 constexpr kernel::duration kill_reserve = std::chrono::milliseconds{300};
-/// Nearly all requests of a service take less than this many times its usual time.
+/// Most requests of a service take less than this many times its usual time.
 constexpr int slow_factor = 4;
+/// Hardly any takes longer than this, also behind others in a queue. A request that is taken in the second half of the
+/// grace has to end before the kill.
+constexpr int slowest_factor = 10;
 
 } // namespace
 
@@ -22,7 +25,11 @@
 
 bool stop_plan::may_take(kernel::time_point now, kernel::duration typical) const
 {
-    return !began_ || now + slow_factor * typical < *began_ + grace_ - kill_reserve;
+    if (!began_) {
+        return true;
+    }
+    const int factor = now < *began_ + grace_ / 2 ? slow_factor : slowest_factor;
+    return now + factor * typical < *began_ + grace_ - kill_reserve;
 }
 
 bool stop_plan::accepts_connections(kernel::time_point now) const
