--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -37,7 +37,7 @@
 trust load_balancer::trust_of(const upstream& item, kernel::duration typical, kernel::time_point now)
 {
     // Its entry may come back, so it is used only if nothing else is left.
-    if (item.missing_since) {
+    if (item.missing) {
         return trust::suspected;
     }
     const auto state = item.health.state(now);
@@ -88,9 +88,8 @@
                                                               double suspected_part, kernel::time_point now)
 {
     std::vector<const upstream*> suspected;
-    std::copy_if(items.begin(), items.end(), std::back_inserter(suspected), [now](const auto* item) {
-        return !item->missing_since && item->health.state(now) == trust::suspected;
-    });
+    std::copy_if(items.begin(), items.end(), std::back_inserter(suspected),
+                 [now](const auto* item) { return !item->missing && item->health.state(now) == trust::suspected; });
     const auto allowed = static_cast<std::size_t>(suspected_part * static_cast<double>(items.size()));
     std::set<kernel::upstream_name> released;
     if (suspected.size() <= allowed) {
@@ -204,15 +203,4 @@
     return count == 0 ? assumed_latency : sum / count;
 }
 
-unsigned load_balancer::usable_slots(const kernel::service_name& service, kernel::time_point now)
-{
-    unsigned slots = 0;
-    for (const auto* item : directory_.of_service(service)) {
-        if (!item->leaving && item->health.state(now) != trust::suspected) {
-            slots += item->record.slots;
-        }
-    }
-    return slots;
-}
-
 } // namespace wisterialane::proxy
--- a/libraries/proxy/load_balancer.h
+++ b/libraries/proxy/load_balancer.h
@@ -48,9 +48,6 @@
     /// Mean time of an exchange with the service's upstreams; zero before the first.
     [[nodiscard]] kernel::duration service_latency(const kernel::service_name& service);
 
-    /// Slots of the service's upstreams that take requests.
-    [[nodiscard]] unsigned usable_slots(const kernel::service_name& service, kernel::time_point now);
-
 private:
     struct candidate {
         upstream* item = nullptr;
--- a/libraries/proxy/proxy_events.cpp
+++ b/libraries/proxy/proxy_events.cpp
@@ -34,7 +34,6 @@
     std::pair{proxy_event::upstream_entry_unreadable, std::string_view{"upstream_entry_unreadable"}},
     std::pair{proxy_event::upstream_suspected, std::string_view{"upstream_suspected"}},
     std::pair{proxy_event::upstream_trusted, std::string_view{"upstream_trusted"}},
-    std::pair{proxy_event::request_sent, std::string_view{"request_sent"}},
     std::pair{proxy_event::request_failed, std::string_view{"request_failed"}},
     std::pair{proxy_event::request_refused, std::string_view{"request_refused"}},
     std::pair{proxy_event::request_served, std::string_view{"request_served"}},
@@ -42,7 +41,6 @@
     std::pair{proxy_event::attempt_failed, std::string_view{"attempt_failed"}},
     std::pair{proxy_event::request_blamed, std::string_view{"request_blamed"}},
     std::pair{proxy_event::peer_heard, std::string_view{"peer_heard"}},
-    std::pair{proxy_event::peer_lost, std::string_view{"peer_lost"}},
     std::pair{proxy_event::peer_message_unreadable, std::string_view{"peer_message_unreadable"}},
 };
 
--- a/libraries/proxy/proxy_events.h
+++ b/libraries/proxy/proxy_events.h
@@ -32,7 +32,6 @@
     upstream_entry_unreadable = 11033,
     upstream_suspected = 11034,
     upstream_trusted = 11035,
-    request_sent = 11040,
     request_failed = 11041,
     request_refused = 11042,
     request_served = 11043,
@@ -40,7 +39,6 @@
     attempt_failed = 11045,
     request_blamed = 11046,
     peer_heard = 11050,
-    peer_lost = 11051,
     peer_message_unreadable = 11052,
 };
 
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -293,8 +293,7 @@
         if (environment_.stop.stopping()) {
             return;
         }
-        registered_ = done.has_value();
-        if (registered_) {
+        if (done) {
             after(hosts_pause_, hosts_first_pause, &proxy_host::read_hosts);
             return;
         }
@@ -412,22 +411,22 @@
 void proxy_host::send_state(const std::vector<kernel::socket_address>& to)
 {
     state_sent_at_ = environment_.clock();
-    channel_->send({settings_.self, own_state(), {}, std::nullopt}, to);
+    auto state = own_state();
+    state.admitted = environment_.quota.admitted();
+    channel_->send({settings_.self, std::move(state), {}, std::nullopt}, to);
     environment_.quota.reported();
 }
 
-// Without counts: the next state has them.
 void proxy_host::send_evidence(const std::vector<kernel::socket_address>& to, std::vector<shared_evidence> evidence)
 {
-    auto state = own_state();
-    state.admitted.clear();
-    channel_->send({settings_.self, std::move(state), std::move(evidence), std::nullopt}, to);
+    channel_->send({settings_.self, own_state(), std::move(evidence), std::nullopt}, to);
 }
 
+// Without counts, which only `send_state` adds.
 host_state proxy_host::own_state() const
 {
     const auto now = environment_.clock();
-    return {instance_, ready_, watch_->reaches_store(now), load(now), environment_.quota.admitted()};
+    return {instance_, ready_, watch_->reaches_store(now), load(now), {}};
 }
 
 void proxy_host::send_relay(store_relay relay)
@@ -435,9 +434,7 @@
     const auto now = environment_.clock();
     peers_.set_reaches_store(watch_->reaches_store(now));
     if (!environment_.stop.stopping() && is_reader(now)) {
-        auto state = own_state();
-        state.admitted.clear();
-        channel_->send({settings_.self, std::move(state), {}, std::move(relay)}, peers_.neighbours());
+        channel_->send({settings_.self, own_state(), {}, std::move(relay)}, peers_.neighbours());
     }
 }
 
--- a/libraries/proxy/proxy_host.h
+++ b/libraries/proxy/proxy_host.h
@@ -112,7 +112,6 @@
     kernel::instance_id instance_;
     kernel::time_point started_at_{};
     kernel::time_point state_sent_at_{};
-    bool registered_ = false;
     bool ready_ = false;
     bool offered_ = false;
     bool reader_ = false;
--- a/libraries/proxy/request_flow.cpp
+++ b/libraries/proxy/request_flow.cpp
@@ -106,8 +106,7 @@
 // A request that crashed several upstreams would take down the next one as well.
 request_flow::check request_flow::check_quarantine(kernel::time_point now)
 {
-    fingerprint_ =
-        fingerprint_of(session_->request(), customer_ == nullptr ? kernel::customer_name{} : customer_->name);
+    fingerprint_ = fingerprint_of(session_->request(), customer_name());
     if (!use_.quarantine.is_quarantined(fingerprint_, now)) {
         return {};
     }
@@ -232,14 +231,12 @@
     }
     const auto wait =
         typical * static_cast<std::int64_t>(before + 1) / static_cast<std::int64_t>(std::max<std::size_t>(1, working));
-    const auto start_by = give_up_at_ - typical;
-    if (now + wait > start_by) {
+    if (now + wait > give_up_at_ - typical) {
         refuse({failure_status(), "overloaded", std::max<kernel::duration>(wait, retry_when_free)});
         return;
     }
     queued_at_ = now;
-    ticket_ = line().push({customer_priority, route_->priority,
-                           customer_ == nullptr ? kernel::customer_name{} : customer_->name, start_by,
+    ticket_ = line().push({customer_priority, route_->priority, customer_name(),
                            [self = shared_from_this()] { return self->start_from_line(); }});
 }
 
@@ -288,9 +285,7 @@
     request.method = session_->request().method();
     request.connect_timeout = std::min(connect_timeout, std::max(milliseconds{1}, left));
     request.body = session_->request().body();
-    request.head =
-        head_for_upstream(session_->request(), use_.names,
-                          {chosen.record.id, left, customer_ == nullptr ? kernel::customer_name{} : customer_->name});
+    request.head = head_for_upstream(session_->request(), use_.names, {chosen.record.id, left, customer_name()});
     attempt next{chosen.record.id,
                  std::make_shared<upstream_exchange>(use_.context, use_.connections, use_.names, use_.clock), now};
     chosen.in_flight.insert(now);
@@ -345,7 +340,7 @@
     attempts_.erase(found);
     const auto outcome = judge(result);
     record(ended, outcome, result, now);
-    const bool ran_not = result.end == exchange_end::not_connected || outcome == exchange_outcome::shed ||
+    const bool ran_not = result.end == exchange_end::not_connected ||
                          (result.end == exchange_end::answered && is_refusal_without_run(result.answer, use_.names));
     plan_.record_end(result.end, ran_not);
     settle(outcome, std::move(result), now);
@@ -561,7 +556,7 @@
                    plan_.may_have_run() ? proxy_event::request_failed : proxy_event::request_refused,
                    {{"request", request_id_},
                     {"route", route_ == nullptr ? "" : route_->name.value()},
-                    {"customer", customer_ == nullptr ? "" : customer_->name.value()},
+                    {"customer", customer_name().value()},
                     {"status", std::to_string(answer.status)},
                     {"reason", std::string{answer.reason}},
                     {"version", table_ ? std::to_string(table_->version().value()) : "0"},
@@ -591,8 +586,7 @@
     if (!service_.value().empty() && outcome != caller_left) {
         use_.balancer.record_result(service_, outcome == served, now);
     }
-    use_.metrics.record_request(customer_ == nullptr ? kernel::customer_name{} : customer_->name, outcome,
-                                now - arrived_);
+    use_.metrics.record_request(customer_name(), outcome, now - arrived_);
 }
 
 } // namespace wisterialane::proxy
--- a/libraries/proxy/request_flow.h
+++ b/libraries/proxy/request_flow.h
@@ -76,6 +76,12 @@
 
     [[nodiscard]] bool is_repeatable() const { return route_->semantics == configuration::route_semantics::idempotent; }
 
+    /// Empty on open routes.
+    [[nodiscard]] kernel::customer_name customer_name() const
+    {
+        return customer_ == nullptr ? kernel::customer_name{} : customer_->name;
+    }
+
     [[nodiscard]] waiting_line& line() { return use_.lines[service_]; }
 
     flow_environment& use_;
--- a/libraries/proxy/upstream_connections.h
+++ b/libraries/proxy/upstream_connections.h
@@ -19,8 +19,6 @@
 
     tcp_stream stream;
     boost::beast::flat_buffer buffer;
-    /// Exchanges that it has carried.
-    unsigned exchanges = 0;
     /// The upstream may close it after this moment.
     kernel::time_point usable_until{};
 };
--- a/libraries/proxy/upstream_directory.cpp
+++ b/libraries/proxy/upstream_directory.cpp
@@ -45,7 +45,7 @@
 {
     auto found = upstreams_.find(record.id);
     const bool unchanged =
-        found != upstreams_.end() && !found->second.missing_since && says_the_same(found->second.record, record);
+        found != upstreams_.end() && !found->second.missing && says_the_same(found->second.record, record);
     const bool restarted = found != upstreams_.end() && (found->second.record.started != record.started ||
                                                          found->second.record.address != record.address ||
                                                          found->second.record.service != record.service);
@@ -60,10 +60,9 @@
     }
     auto& item = found->second;
     item.record = record;
-    item.missing_since.reset();
-    if (record.phase == upstream_phase::leaving && !item.leaving) {
-        item.leaving = true;
-        notify_(record, directory_change::leaving);
+    item.missing = false;
+    if (record.phase == upstream_phase::leaving) {
+        mark_leaving(record.id);
     }
     return !unchanged;
 }
@@ -78,9 +77,7 @@
         erase(id);
         return;
     }
-    if (!found->second.missing_since) {
-        found->second.missing_since = now;
-    }
+    found->second.missing = true;
 }
 
 void upstream_directory::mark_leaving(const kernel::upstream_name& id)
@@ -98,7 +95,7 @@
     }
     std::vector<kernel::upstream_name> gone;
     for (const auto& [id, item] : upstreams_) {
-        if (item.missing_since) {
+        if (item.missing) {
             gone.push_back(id);
         }
     }
--- a/libraries/proxy/upstream_directory.h
+++ b/libraries/proxy/upstream_directory.h
@@ -23,8 +23,8 @@
     kernel::duration latency{};
     /// It has shed a request; others go first until then.
     kernel::time_point busy_until{};
-    /// Its entry is missing from the store since then.
-    std::optional<kernel::time_point> missing_since;
+    /// Its entry is missing from the store, and may come back.
+    bool missing = false;
     /// It has said that it is leaving, in its entry or in an answer.
     bool leaving = false;
 };
--- a/libraries/proxy/upstream_exchange.cpp
+++ b/libraries/proxy/upstream_exchange.cpp
@@ -156,7 +156,6 @@
     const auto idle = idle_time_of(result_.answer.headers) - idle_margin;
     if (keep && idle > std::chrono::milliseconds{0}) {
         connection_->usable_until = clock_() + idle;
-        ++connection_->exchanges;
         connections_.keep(request_.upstream, std::move(connection_));
     }
     finish(exchange_end::answered);
--- a/libraries/proxy/waiting_line.h
+++ b/libraries/proxy/waiting_line.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "kernel/clock.h"
 #include "kernel/identifiers.h"
 
 #include <cstddef>
@@ -21,8 +20,6 @@
     int customer_priority = 0;
     int route_priority = 0;
     kernel::customer_name customer;
-    /// After this moment an answer would come too late.
-    kernel::time_point start_by;
     /// Called when an upstream may be free; returns whether the request has left the line.
     std::function<bool()> try_start;
 };
--- a/tests/proxy/test_traffic.cpp
+++ b/tests/proxy/test_traffic.cpp
@@ -125,15 +125,14 @@
 
     waiting_ticket push(const std::string& customer, int customer_priority = 1, int route_priority = 1)
     {
-        return line.push(
-            {customer_priority, route_priority, kernel::customer_name{customer}, test_start, [this, customer] {
-                 if (free_slots == 0) {
-                     return false;
-                 }
-                 --free_slots;
-                 served += customer;
-                 return true;
-             }});
+        return line.push({customer_priority, route_priority, kernel::customer_name{customer}, [this, customer] {
+                              if (free_slots == 0) {
+                                  return false;
+                              }
+                              --free_slots;
+                              served += customer;
+                              return true;
+                          }});
     }
 };
 
