Proxy: Do not share silence that a host without callers has seen

An attempt whose upstream has answered others meanwhile is no evidence either.

'request_served' names the upstream and version.

--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -104,7 +104,10 @@
             environment_.clock});
     channel_ = std::make_shared<peer_channel>(context, [this](const auto& message) { on_peer_message(message); });
     environment_.share_evidence = [this](const shared_evidence& evidence) {
-        send_evidence(peers_.audience(environment_.clock()), {evidence});
+        const auto now = environment_.clock();
+        if (is_worth_sharing(evidence.outcome, peers_.is_offered(now))) {
+            send_evidence(peers_.audience(now), {evidence});
+        }
     };
     environment_.report_admissions = [this] { report_admissions(); };
     reload(settings_.reloadable);
--- a/libraries/proxy/request_flow.cpp
+++ b/libraries/proxy/request_flow.cpp
@@ -339,6 +339,9 @@
     const auto ended = *found;
     attempts_.erase(found);
     const auto outcome = judge(result);
+    if (result.end == exchange_end::answered) {
+        answered_by_ = id;
+    }
     record(ended, outcome, result, now);
     const bool ran_not = result.end == exchange_end::not_connected ||
                          (result.end == exchange_end::answered && is_refusal_without_run(result.answer, use_.names));
@@ -380,6 +383,9 @@
             item->in_flight.erase(sent);
         }
         const auto taken = now - ended.sent_at;
+        if (result.end == exchange_end::answered) {
+            item->answered_at = now;
+        }
         if (outcome == exchange_outcome::good) {
             const auto known = item->latency > kernel::duration::zero() ? item->latency : taken;
             item->latency = std::chrono::duration_cast<kernel::duration>((1 - latency_smoothing) * known +
@@ -423,9 +429,6 @@
 void request_flow::share(const attempt& ended, exchange_outcome outcome, const exchange_result& result,
                          kernel::time_point now)
 {
-    if (outcome == exchange_outcome::neutral || outcome == exchange_outcome::shed) {
-        return;
-    }
     const bool crashed = outcome == exchange_outcome::broken && result.end == exchange_end::closed;
     if (crashed) {
         use_.quarantine.record({fingerprint_, ended.upstream}, now);
@@ -503,7 +506,8 @@
     line().serve();
 }
 
-// An attempt that has taken no longer than usual says nothing about its upstream.
+// An attempt that has taken no longer than usual says nothing about its upstream, and neither does one whose upstream
+// has answered others meanwhile: it waits in the queue there.
 void request_flow::cancel_attempts(exchange_outcome evidence)
 {
     const auto now = use_.clock();
@@ -514,7 +518,9 @@
         plan_.record_cancel(item.exchange->sent());
         item.exchange->cancel();
         const bool slow = now - item.sent_at > hedge_factor * usual;
-        record(item, slow ? evidence : exchange_outcome::neutral, {exchange_end::closed, {}, false}, now);
+        const auto* known = use_.upstreams.find(item.upstream);
+        const bool answers = known != nullptr && known->answered_at > item.sent_at;
+        record(item, slow && !answers ? evidence : exchange_outcome::neutral, {exchange_end::closed, {}, false}, now);
     }
 }
 
@@ -529,6 +535,7 @@
                         {"version", std::to_string(table_->version().value())},
                         {"status", std::to_string(answer.status)},
                         {"reason", "answer_of_upstream"},
+                        {"upstream", answered_by_.value()},
                         {"sends", std::to_string(plan_.sends())},
                         {"elapsed_ms", to_text(now - arrived_)}});
     }
@@ -536,6 +543,8 @@
         use_.log.write(now, line_urgency::routine, proxy_event::request_served,
                        {{"request", request_id_},
                         {"route", route_->name.value()},
+                        {"version", std::to_string(table_->version().value())},
+                        {"upstream", answered_by_.value()},
                         {"sends", std::to_string(plan_.sends())},
                         {"elapsed_ms", to_text(now - arrived_)}});
     }
--- a/libraries/proxy/request_flow.h
+++ b/libraries/proxy/request_flow.h
@@ -98,6 +98,8 @@
     kernel::time_point give_up_at_;
     placement_request placement_;
     std::vector<attempt> attempts_;
+    /// The upstream whose complete answer came last.
+    kernel::upstream_name answered_by_;
     attempt_plan plan_{1, false};
     /// An answer of an upstream that is worth delivering if nothing better comes.
     std::optional<upstream_answer> fallback_;
--- a/libraries/proxy/upstream_directory.h
+++ b/libraries/proxy/upstream_directory.h
@@ -21,6 +21,8 @@
     std::multiset<kernel::time_point> in_flight;
     /// Smoothed time from the sending of a request to its answer; zero before the first.
     kernel::duration latency{};
+    /// When it last answered this host.
+    kernel::time_point answered_at{};
     /// It has shed a request; others go first until then.
     kernel::time_point busy_until{};
     /// Its entry is missing from the store, and may come back.
--- a/libraries/proxy/upstream_health.cpp
+++ b/libraries/proxy/upstream_health.cpp
@@ -65,6 +65,23 @@
     return "neutral";
 }
 
+bool is_worth_sharing(exchange_outcome outcome, bool callers_are_sent_here)
+{
+    switch (outcome) {
+    case exchange_outcome::good:
+    case exchange_outcome::shed:
+    case exchange_outcome::neutral:
+        return false;
+    case exchange_outcome::silent:
+        return callers_are_sent_here;
+    case exchange_outcome::error:
+    case exchange_outcome::connect_failed:
+    case exchange_outcome::broken:
+        break;
+    }
+    return true;
+}
+
 std::string_view to_name(trust state)
 {
     switch (state) {
--- a/libraries/proxy/upstream_health.h
+++ b/libraries/proxy/upstream_health.h
@@ -24,6 +24,10 @@
 
 [[nodiscard]] std::string_view to_name(exchange_outcome outcome);
 
+/// Whether the other hosts should hear of an outcome. Silence may be the wait for a slot, which only the hosts that
+/// callers are sent to can tell: those that stand by do not see the other requests of the upstream.
+[[nodiscard]] bool is_worth_sharing(exchange_outcome outcome, bool callers_are_sent_here);
+
 enum class trust { trusted, trial, suspected };
 
 [[nodiscard]] std::string_view to_name(trust state);
