Proxy: Send callers to the hosts with the most processor time, as many as the forecast needs

Now the hosts with the most processor time come first, a rise is seen in two seconds, and before requests can be counted the demand is taken from the slots of the upstreams. Upstreams are indexed by service.

--- a/libraries/proxy/customer_quota.cpp
+++ b/libraries/proxy/customer_quota.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint64_t urgent_admissions = 3;
 constexpr kernel::duration minimum_wait = std::chrono::milliseconds{100};
 constexpr double minimum_own_burst = 1.5;
+/// Part of the tolerance that the shares use; the rest covers messages that are late.
+constexpr double used_tolerance = 0.5;
 
 } // namespace
 
@@ -54,7 +56,9 @@
 
 double customer_quota::own_burst(const bucket& item) const
 {
-    return std::max(minimum_own_burst, item.burst * share());
+    const double in_window = item.rate * seconds{tolerance_.window}.count() + item.burst;
+    const double tolerated = used_tolerance * (tolerance_.part * in_window + tolerance_.requests);
+    return std::max(minimum_own_burst, (item.burst + tolerated) * share());
 }
 
 void customer_quota::refill(bucket& item, kernel::time_point now) const
--- a/libraries/proxy/host_record.h
+++ b/libraries/proxy/host_record.h
@@ -12,6 +12,8 @@
     kernel::socket_address caller_address;
     /// For messages of other hosts.
     kernel::socket_address peer_address;
+    /// Processor time that it may use, in cores.
+    double processor_share = 1;
 };
 
 } // namespace wisterialane::proxy
--- a/libraries/proxy/peer_directory.cpp
+++ b/libraries/proxy/peer_directory.cpp
@@ -13,10 +13,22 @@
 /// can be borne.
 constexpr double target_load = 0.3;
 
-std::uint64_t rank_of(const host_record& record)
+bool ranks_before(const host_record& left, const host_record& right)
 {
-    const auto& name = record.host.value();
-    return ::XXH64(name.data(), name.size(), 0);
+    const auto hash = [](const host_record& record) {
+        const auto& name = record.host.value();
+        return ::XXH64(name.data(), name.size(), 0);
+    };
+    if (left.processor_share != right.processor_share) {
+        return left.processor_share > right.processor_share;
+    }
+    return hash(left) < hash(right);
+}
+
+void sort_by_rank(std::vector<const host_record*>& records)
+{
+    std::sort(records.begin(), records.end(),
+              [](const auto* left, const auto* right) { return ranks_before(*left, *right); });
 }
 
 } // namespace
@@ -76,9 +88,8 @@
             ready.push_back(&item.record);
         }
     }
-    std::sort(ready.begin(), ready.end(),
-              [](const auto* left, const auto* right) { return rank_of(*left) < rank_of(*right); });
-    ready.resize(std::min(ready.size(), needed_in(data_centre, now)));
+    sort_by_rank(ready);
+    ready.resize(count_needed(ready, data_centre, now));
     return ready;
 }
 
@@ -121,26 +132,42 @@
     return std::find(offered.begin(), offered.end(), &use_.self) != offered.end();
 }
 
-std::size_t peer_directory::needed_in(const kernel::data_centre_name& data_centre, kernel::time_point now) const
+double peer_directory::demand_in(const kernel::data_centre_name& data_centre, kernel::time_point now) const
 {
-    double load = data_centre == use_.self.data_centre ? load_ : 0;
+    double demand = data_centre == use_.self.data_centre ? load_ * use_.self.processor_share : 0;
     for (const auto& [name, item] : peers_) {
         if (item.record.data_centre == data_centre && is_live(item, now)) {
-            load += item.state.load;
+            demand += item.state.load * item.record.processor_share;
         }
     }
-    return std::max(use_.hosts_per_data_centre, static_cast<std::size_t>(std::ceil(load / target_load)));
+    return std::max(demand, expected_demand_);
+}
+
+// The first hosts in the order of rank that carry the demand together.
+std::size_t peer_directory::count_needed(const std::vector<const host_record*>& ranked,
+                                         const kernel::data_centre_name& data_centre, kernel::time_point now) const
+{
+    const double demand = demand_in(data_centre, now);
+    double carried = 0;
+    std::size_t count = 0;
+    while (count < ranked.size() && (count < use_.hosts_per_data_centre || carried < demand)) {
+        carried += target_load * ranked[count]->processor_share;
+        ++count;
+    }
+    return count;
 }
 
 std::size_t peer_directory::expected_count(kernel::time_point now) const
 {
-    std::map<kernel::data_centre_name, std::size_t> known{{use_.self.data_centre, 1}};
+    std::map<kernel::data_centre_name, std::vector<const host_record*>> known{
+        {use_.self.data_centre, {&use_.self}}};
     for (const auto& [name, item] : peers_) {
-        ++known[item.record.data_centre];
+        known[item.record.data_centre].push_back(&item.record);
     }
     std::size_t count = 0;
-    for (const auto& [data_centre, hosts] : known) {
-        count += std::min(hosts, needed_in(data_centre, now));
+    for (auto& [data_centre, ranked] : known) {
+        sort_by_rank(ranked);
+        count += count_needed(ranked, data_centre, now);
     }
     return count;
 }
@@ -156,11 +183,10 @@
 
 bool peer_directory::is_reader(kernel::time_point now) const
 {
-    const auto own_rank = rank_of(use_.self);
     return reaches_store_ && std::none_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
                const auto& item = entry.second;
                return item.record.data_centre == use_.self.data_centre && item.state.reaches_store &&
-                      is_live(item, now) && rank_of(item.record) < own_rank;
+                      is_live(item, now) && ranks_before(item.record, use_.self);
            });
 }
 
--- a/libraries/proxy/peer_directory.h
+++ b/libraries/proxy/peer_directory.h
@@ -27,7 +27,8 @@
 /// The other hosts of the fleet, and which hosts callers should use.
 ///
 /// In each data centre the first few ready hosts, in an order that all hosts compute alike, take the callers: fewer
-/// hosts see more of each upstream and share their connections better. The others stand by.
+/// hosts see more of each upstream and share their connections better. Hosts with the most processor time come first,
+/// and there are as many as carry the load. The others stand by.
 class peer_directory {
 public:
     struct options {
@@ -62,6 +63,10 @@
 
     void set_load(double load) { load_ = load; }
 
+    /// Processor time, in cores, that the callers of each data centre are expected to need at least. Callers keep
+    /// addresses for seconds, so the right number of hosts must be known before their requests can be counted.
+    void set_expected_demand(double cores) { expected_demand_ = cores; }
+
     /// Whether this host takes requests; a host that does not is not offered.
     void set_ready(bool ready) { ready_ = ready; }
 
@@ -95,19 +100,22 @@
     /// All peers.
     [[nodiscard]] std::vector<kernel::socket_address> everyone() const;
 
+    /// All data centres of which a host is known.
+    [[nodiscard]] std::vector<kernel::data_centre_name> data_centres() const;
+
     [[nodiscard]] const std::map<kernel::host_name, peer>& peers() const { return peers_; }
 
 private:
     [[nodiscard]] bool is_live(const peer& item, kernel::time_point now) const;
+    [[nodiscard]] double demand_in(const kernel::data_centre_name& data_centre, kernel::time_point now) const;
+    [[nodiscard]] std::size_t count_needed(const std::vector<const host_record*>& ranked,
+                                           const kernel::data_centre_name& data_centre, kernel::time_point now) const;
     [[nodiscard]] std::vector<const host_record*> offered_in(const kernel::data_centre_name& data_centre,
                                                              kernel::time_point now) const;
-    [[nodiscard]] std::vector<kernel::data_centre_name> data_centres() const;
-
     options use_;
-    [[nodiscard]] std::size_t needed_in(const kernel::data_centre_name& data_centre, kernel::time_point now) const;
-
     bool ready_ = false;
     double load_ = 0;
+    double expected_demand_ = 0;
     bool reaches_store_ = false;
     std::map<kernel::host_name, peer> peers_;
 };
--- a/libraries/proxy/peer_message.cpp
+++ b/libraries/proxy/peer_message.cpp
@@ -70,6 +70,7 @@
     message.sender.data_centre = kernel::data_centre_name{document.at("dc").get<std::string>()};
     message.sender.caller_address = kernel::socket_address{document.at("caller").get<std::string>()};
     message.sender.peer_address = kernel::socket_address{document.at("peer").get<std::string>()};
+    message.sender.processor_share = document.at("cores").get<double>();
     message.state.instance = kernel::instance_id{document.at("run").get<std::string>()};
     message.state.ready = document.at("ready").get<bool>();
     message.state.reaches_store = document.at("store").get<bool>();
@@ -105,6 +106,7 @@
                             {"dc", message.sender.data_centre.value()},
                             {"caller", message.sender.caller_address.value()},
                             {"peer", message.sender.peer_address.value()},
+                            {"cores", message.sender.processor_share},
                             {"run", message.state.instance.value()},
                             {"ready", message.state.ready},
                             {"store", message.state.reaches_store},
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -30,6 +30,14 @@
 /// Processor time that a request takes from its arrival to its answer, retries included; see docs/CAPACITY.md.
 constexpr std::chrono::duration<double> processor_time_of_request{0.0005};
 constexpr std::chrono::seconds load_window{5};
+/// A rise of the load is seen in this time, so that more hosts take callers soon.
+constexpr std::chrono::seconds rise_window{2};
+/// Callers come within this time after the start, and keep the addresses that they get first for seconds.
+constexpr std::chrono::seconds forecast_time{20};
+/// Part of the upstreams' slots that is taken to be busy before requests have been counted, and for how long a request
+/// is taken to hold its slot.
+constexpr double forecast_utilization = 0.25;
+constexpr std::chrono::duration<double> forecast_holding_time{0.3};
 /// By then the hosts of a data centre that started together have told one another.
 constexpr milliseconds reader_settling_time{1200};
 /// Hosts that are assumed to take requests before the others are heard.
@@ -117,6 +125,7 @@
 {
     settings_.reloadable = settings;
     environment_.retries.configure(settings.retries);
+    environment_.quota.set_tolerance(settings.rates);
     environment_.bounds = settings.authority;
 }
 
@@ -324,6 +333,7 @@
 {
     const auto now = environment_.clock();
     peers_.set_load(load(now));
+    update_expected_demand(now);
     update_readiness(now);
     update_fleet_size(now);
     peers_.set_reaches_store(!environment_.stop.stopping() && watch_->reaches_store(now));
@@ -368,9 +378,27 @@
 
 double proxy_host::load(kernel::time_point now) const
 {
-    const std::chrono::duration<double> span = load_window;
-    const auto rate = static_cast<double>(environment_.requests.count(now, load_window)) / span.count();
-    return rate * processor_time_of_request.count() / settings_.processor_share;
+    const auto rate_over = [this, now](std::chrono::seconds window) {
+        const std::chrono::duration<double> span = window;
+        return static_cast<double>(environment_.requests.count(now, window)) / span.count();
+    };
+    const auto rate = std::max(rate_over(load_window), rate_over(rise_window));
+    return rate * processor_time_of_request.count() / settings_.self.processor_share;
+}
+
+void proxy_host::update_expected_demand(kernel::time_point now)
+{
+    if (now - started_at_ > forecast_time) {
+        peers_.set_expected_demand(0);
+        return;
+    }
+    double slots = 0;
+    for (const auto& [id, item] : environment_.upstreams.all()) {
+        slots += item.record.slots;
+    }
+    const double requests_per_second = slots * forecast_utilization / forecast_holding_time.count();
+    const auto data_centres = static_cast<double>(peers_.data_centres().size());
+    peers_.set_expected_demand(requests_per_second * processor_time_of_request.count() / data_centres);
 }
 
 bool proxy_host::is_reader(kernel::time_point now) const
--- a/libraries/proxy/proxy_host.h
+++ b/libraries/proxy/proxy_host.h
@@ -22,6 +22,7 @@
 struct reloadable_settings {
     retry_allowance retries;
     authority_bounds authority;
+    rate_tolerance rates;
     /// Time from the request to stop until the process is killed.
     kernel::duration stop_grace = std::chrono::seconds{6};
     /// Longest time that callers may keep an answer with addresses.
@@ -41,8 +42,6 @@
     /// Port for metrics at that address; 0 for none.
     std::uint16_t metrics_port = 0;
     std::size_t hosts_per_data_centre = 1;
-    /// Processor time that the process may use, in cores.
-    double processor_share = 1;
     wire_names names;
     /// The answer with addresses for callers, and how long they may keep it.
     std::function<std::string(const std::vector<kernel::socket_address>&, std::chrono::milliseconds)> render_addresses;
@@ -83,6 +82,7 @@
     void tick();
     void update_readiness(kernel::time_point now);
     void update_fleet_size(kernel::time_point now);
+    void update_expected_demand(kernel::time_point now);
     [[nodiscard]] double load(kernel::time_point now) const;
     [[nodiscard]] bool is_reader(kernel::time_point now) const;
     [[nodiscard]] bool is_settling(kernel::time_point now) const;
--- a/libraries/proxy/upstream_directory.cpp
+++ b/libraries/proxy/upstream_directory.cpp
@@ -1,5 +1,7 @@
 #include "libraries/proxy/upstream_directory.h"
 
+#include <algorithm>
+
 namespace wisterialane::proxy {
 namespace {
 
@@ -56,6 +58,7 @@
     if (found == upstreams_.end()) {
         found = upstreams_.emplace(record.id, upstream{}).first;
         found->second.record = record;
+        index(found->second);
         notify_(record, directory_change::added);
     }
     auto& item = found->second;
@@ -108,6 +111,7 @@
 {
     const auto found = upstreams_.find(id);
     const auto record = found->second.record;
+    std::erase(by_service_[record.service], &found->second);
     upstreams_.erase(found);
     notify_(record, directory_change::removed);
 }
@@ -118,15 +122,20 @@
     return found == upstreams_.end() ? nullptr : &found->second;
 }
 
-std::vector<upstream*> upstream_directory::of_service(const kernel::service_name& service)
+const std::vector<upstream*>& upstream_directory::of_service(const kernel::service_name& service) const
 {
-    std::vector<upstream*> result;
-    for (auto& [id, item] : upstreams_) {
-        if (item.record.service == service) {
-            result.push_back(&item);
-        }
-    }
-    return result;
+    static const std::vector<upstream*> none;
+    const auto found = by_service_.find(service);
+    return found == by_service_.end() ? none : found->second;
+}
+
+void upstream_directory::index(upstream& item)
+{
+    auto& items = by_service_[item.record.service];
+    const auto place = std::find_if(items.begin(), items.end(), [&item](const auto* other) {
+        return item.record.id.value() < other->record.id.value();
+    });
+    items.insert(place, &item);
 }
 
 } // namespace wisterialane::proxy
--- a/libraries/proxy/upstream_directory.h
+++ b/libraries/proxy/upstream_directory.h
@@ -66,16 +66,19 @@
     [[nodiscard]] upstream* find(const kernel::upstream_name& id);
 
     /// All upstreams of the service, also the leaving ones.
-    [[nodiscard]] std::vector<upstream*> of_service(const kernel::service_name& service);
+    [[nodiscard]] const std::vector<upstream*>& of_service(const kernel::service_name& service) const;
 
     [[nodiscard]] const std::map<kernel::upstream_name, upstream>& all() const { return upstreams_; }
 
 private:
     [[nodiscard]] bool store_is_steady(kernel::time_point now) const;
     void erase(const kernel::upstream_name& id);
+    void index(upstream& item);
 
     listener notify_;
     std::map<kernel::upstream_name, upstream> upstreams_;
+    /// The entries of the map above by service, in its order.
+    std::unordered_map<kernel::service_name, std::vector<upstream*>> by_service_;
     std::optional<kernel::time_point> last_store_failure_;
 };
 
--- a/tests/proxy/test_load_balancer.cpp
+++ b/tests/proxy/test_load_balancer.cpp
@@ -95,4 +95,17 @@
     CHECK(chosen.error() == placement_refusal::none_left);
 }
 
+// Guards against an index that still names an upstream whose id came back for another service.
+TEST_CASE_FIXTURE(balancer_fixture, "upstream_directory: id registered for another service: listed there alone")
+{
+    add(2);
+    auto moved = make_upstream("here0");
+    moved.service = kernel::service_name{"archive"};
+    directory.update(moved);
+    CHECK(directory.of_service(kernel::service_name{"certificates"}) == std::vector{&item("here1")});
+    CHECK(directory.of_service(kernel::service_name{"archive"}) == std::vector{&item("here0")});
+    directory.remove(kernel::upstream_name{"here0"}, now);
+    CHECK(directory.of_service(kernel::service_name{"archive"}).empty());
+}
+
 } // namespace wisterialane::proxy
--- a/tests/proxy/test_peer_directory.cpp
+++ b/tests/proxy/test_peer_directory.cpp
@@ -124,4 +124,30 @@
     CHECK(hosts[0].hear(records[1], states[1], now).admitted.at(customer) == 3);
 }
 
+// Guards against a small host that takes the callers of a whole data centre beside larger ones that stand by.
+TEST_CASE_FIXTURE(fleet_fixture, "peer_directory: hosts differ in processor time: the largest takes the callers")
+{
+    for (std::size_t host = 0; host < 4; ++host) {
+        records[host].processor_share = host == 2 ? 0.5 : 0.1;
+    }
+    hosts.clear();
+    for (const auto& record : records) {
+        hosts.emplace_back(peer_directory::options{record});
+    }
+    talk();
+    for (std::size_t host = 0; host < hosts.size(); ++host) {
+        CHECK(addresses(host) == std::vector{records[2].caller_address});
+    }
+}
+
+// Guards against the overload of the first host until its requests have been counted.
+TEST_CASE_FIXTURE(fleet_fixture, "peer_directory: demand expected before any request: as many hosts as carry it")
+{
+    talk();
+    hosts[0].set_expected_demand(0.5);
+    CHECK(addresses(0).size() == 2);
+    hosts[0].set_expected_demand(0);
+    CHECK(addresses(0).size() == 1);
+}
+
 } // namespace wisterialane::proxy
