--- a/libraries/proxy/customer_quota.cpp
+++ b/libraries/proxy/customer_quota.cpp
@@ -8,7 +8,7 @@
 using seconds = std::chrono::duration<double>;
 
 /// A process that starts does not know what others have admitted just before.
-constexpr double initial_fill = 0.5;
+constexpr double initial_fill = 0.33;
 /// Above this part of the burst a customer is far below its rate.
 constexpr double plenty = 0.5;
 /// Debt of other hosts' admissions is kept up to this many bursts.
@@ -17,8 +17,8 @@
 constexpr std::uint64_t urgent_admissions = 3;
 constexpr kernel::duration minimum_wait = std::chrono::milliseconds{100};
 constexpr double minimum_own_burst = 1.5;
-/// Part of the tolerance that the shares use; the rest covers messages that are late.
-constexpr double used_tolerance = 0.5;
+/// Part of the tolerated requests that the shares use; the rest covers messages that are late.
+constexpr double used_tolerance = 0.75;
 
 } // namespace
 
@@ -56,9 +56,7 @@
 
 double customer_quota::own_burst(const bucket& item) const
 {
-    const double in_window = item.rate * seconds{tolerance_.window}.count() + item.burst;
-    const double tolerated = used_tolerance * (tolerance_.part * in_window + tolerance_.requests);
-    return std::max(minimum_own_burst, (item.burst + tolerated) * share());
+    return std::max(minimum_own_burst, (item.burst + used_tolerance * tolerated_) * share());
 }
 
 void customer_quota::refill(bucket& item, kernel::time_point now) const
--- a/libraries/proxy/customer_quota.h
+++ b/libraries/proxy/customer_quota.h
@@ -15,22 +15,13 @@
 /// Requests admitted for each customer since the start of a process.
 using admitted_counts = std::map<kernel::customer_name, std::uint64_t>;
 
-/// What a customer may get beyond its rate and burst in any window.
-struct rate_tolerance {
-    /// Part of what rate and burst allow in the window.
-    double part = 0;
-    /// Requests on top.
-    double requests = 0;
-    std::chrono::milliseconds window{5000};
-};
-
 /// Rate and burst of each customer over all hosts.
 ///
 /// Each host keeps a bucket of the customer's whole rate and burst, from which it takes its own admissions at once and
 /// those of other hosts as they report them. While the bucket is more than half full no host needs to ask: the
 /// customer is far below its rate. Below that a host also keeps to its even share, so that several hosts do not spend
 /// the same tokens before they hear of one another. Callers never spread evenly, so the shares together have room for
-/// half of the tolerance.
+/// most of the requests that are tolerated.
 class customer_quota {
 public:
     /// Rates and bursts of a new version. Customers that are known keep their tokens.
@@ -40,7 +31,8 @@
     /// admission keeps to the even share.
     void set_hosts(std::size_t hosts, bool certain);
 
-    void set_tolerance(rate_tolerance tolerance) { tolerance_ = tolerance; }
+    /// Requests that a customer may get beyond rate and burst in the operators' window.
+    void set_tolerance(double requests) { tolerated_ = requests; }
 
     /// Admits a request, or tells after what time to come again.
     [[nodiscard]] std::optional<kernel::duration> admit(const kernel::customer_name& customer, kernel::time_point now);
@@ -74,7 +66,7 @@
 
     std::map<kernel::customer_name, bucket> buckets_;
     admitted_counts admitted_;
-    rate_tolerance tolerance_;
+    double tolerated_ = 0;
     std::size_t hosts_ = 1;
     bool certain_ = false;
 };
--- a/libraries/proxy/flow_environment.h
+++ b/libraries/proxy/flow_environment.h
@@ -20,9 +20,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <unordered_set>
 
 namespace wisterialane::proxy {
 
+class request_flow;
+
 /// Bounds on the age of the configuration by which requests are decided.
 struct authority_bounds {
     /// A withdrawn key must not be served for longer; requests with a key need a younger confirmation.
@@ -65,7 +68,7 @@
     /// Requests of callers that have arrived.
     window_counter requests;
     /// Requests that are being served.
-    std::size_t in_flight = 0;
+    std::unordered_set<request_flow*> running;
 };
 
 } // namespace wisterialane::proxy
--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -48,9 +48,13 @@
     return state;
 }
 
-double load_balancer::cost_of(const upstream& item, kernel::duration typical, kernel::time_point now) const
+// Upstreams of about the same speed get their turns alike, so that each is known and works. A strained service needs
+// also its slow ones.
+double load_balancer::cost_of(const upstream& item, kernel::duration typical, bool strained,
+                              kernel::time_point now) const
 {
-    const auto latency = item.latency > kernel::duration::zero() ? item.latency : typical;
+    const bool slow = !strained && item.latency > typical + typical / 2;
+    const auto latency = slow ? item.latency : typical;
     const double load = static_cast<double>(item.in_flight.size() + 1) / std::max(1U, item.record.slots);
     double cost = seconds{latency}.count() * (1 + load);
     if (now < item.busy_until) {
@@ -125,10 +129,10 @@
 }
 
 load_balancer::shortlist load_balancer::sort(const std::vector<upstream*>& items, kernel::duration typical,
-                                             double suspected_part, kernel::time_point now) const
+                                             bool strained, kernel::time_point now) const
 {
     shortlist result;
-    const auto released = released_early(items, suspected_part, now);
+    const auto released = released_early(items, strained ? strained_suspected_part : maximum_suspected_part, now);
     for (auto* item : items) {
         auto state = trust_of(*item, typical, now);
         if (state == trust::suspected && released.contains(item->record.id)) {
@@ -141,7 +145,7 @@
         }
         auto& list =
             state == trust::trusted ? result.trusted : (state == trust::trial ? result.on_trial : result.suspected);
-        list.push_back({item, cost_of(*item, typical, now)});
+        list.push_back({item, cost_of(*item, typical, strained, now)});
     }
     return result;
 }
@@ -155,8 +159,7 @@
     if (!items.empty()) {
         std::rotate(items.begin(), items.begin() + static_cast<std::ptrdiff_t>(++turn_ % items.size()), items.end());
     }
-    const auto part = is_strained(request.service, now) ? strained_suspected_part : maximum_suspected_part;
-    auto list = sort(items, typical, part, now);
+    auto list = sort(items, typical, is_strained(request.service, now), now);
     const auto is_excluded = [&request](const auto& entry) { return request.excluded.contains(entry.item->record.id); };
     std::erase_if(list.trusted, is_excluded);
     std::erase_if(list.on_trial, is_excluded);
--- a/libraries/proxy/load_balancer.h
+++ b/libraries/proxy/load_balancer.h
@@ -70,12 +70,13 @@
     };
 
     [[nodiscard]] bool is_strained(const kernel::service_name& service, kernel::time_point now) const;
-    [[nodiscard]] shortlist sort(const std::vector<upstream*>& items, kernel::duration typical, double suspected_part,
+    [[nodiscard]] shortlist sort(const std::vector<upstream*>& items, kernel::duration typical, bool strained,
                                  kernel::time_point now) const;
     [[nodiscard]] static std::set<kernel::upstream_name> released_early(const std::vector<upstream*>& items,
                                                                         double suspected_part, kernel::time_point now);
     [[nodiscard]] static upstream* least_suspected(const std::vector<candidate>& candidates, kernel::time_point now);
-    [[nodiscard]] double cost_of(const upstream& item, kernel::duration typical, kernel::time_point now) const;
+    [[nodiscard]] double cost_of(const upstream& item, kernel::duration typical, bool strained,
+                                 kernel::time_point now) const;
     [[nodiscard]] static trust trust_of(const upstream& item, kernel::duration typical, kernel::time_point now);
     [[nodiscard]] static upstream* cheapest(const std::vector<candidate>& candidates);
     [[nodiscard]] upstream* cheapest_here(const std::vector<candidate>& candidates) const;
--- a/libraries/proxy/peer_directory.cpp
+++ b/libraries/proxy/peer_directory.cpp
@@ -159,8 +159,7 @@
 
 std::size_t peer_directory::expected_count(kernel::time_point now) const
 {
-    std::map<kernel::data_centre_name, std::vector<const host_record*>> known{
-        {use_.self.data_centre, {&use_.self}}};
+    std::map<kernel::data_centre_name, std::vector<const host_record*>> known{{use_.self.data_centre, {&use_.self}}};
     for (const auto& [name, item] : peers_) {
         known[item.record.data_centre].push_back(&item.record);
     }
--- a/libraries/proxy/proxy_events.cpp
+++ b/libraries/proxy/proxy_events.cpp
@@ -13,6 +13,7 @@
     std::pair{proxy_event::stop_requested, std::string_view{"stop_requested"}},
     std::pair{proxy_event::stopped, std::string_view{"stopped"}},
     std::pair{proxy_event::settings_reloaded, std::string_view{"settings_reloaded"}},
+    std::pair{proxy_event::requests_given_up, std::string_view{"requests_given_up"}},
     std::pair{proxy_event::settings_kept, std::string_view{"settings_kept"}},
     std::pair{proxy_event::invalid_limit, std::string_view{"invalid_limit"}},
     std::pair{proxy_event::key_held_twice, std::string_view{"key_held_twice"}},
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -20,7 +20,8 @@
 /// Admissions of a customer near its limit are reported at once, but not more often.
 constexpr milliseconds urgent_pause{40};
 constexpr milliseconds hosts_first_pause{700};
-constexpr milliseconds hosts_pause{30000};
+/// Hosts announce themselves to those that they read from the store, so the list is read again only as a safeguard.
+constexpr milliseconds hosts_pause{120000};
 constexpr milliseconds registration_retry{500};
 /// A host whose configuration was confirmed longer ago sends callers elsewhere.
 constexpr milliseconds ready_age{2500};
@@ -125,7 +126,7 @@
 {
     settings_.reloadable = settings;
     environment_.retries.configure(settings.retries);
-    environment_.quota.set_tolerance(settings.rates);
+    environment_.quota.set_tolerance(settings.tolerated_requests);
     environment_.bounds = settings.authority;
 }
 
@@ -477,7 +478,7 @@
     const auto now = environment_.clock();
     environment_.stop.begin(now, settings_.reloadable.stop_grace);
     environment_.log.write(now, line_urgency::important, proxy_event::stop_requested,
-                           {{"in_flight", std::to_string(environment_.in_flight)}});
+                           {{"in_flight", std::to_string(environment_.running.size())}});
     update_readiness(now);
     continue_stop();
 }
@@ -489,18 +490,42 @@
     if (!environment_.stop.accepts_connections(now)) {
         callers_->stop_accepting();
         callers_->close_idle();
-        const bool idle = environment_.in_flight == 0 && callers_->connections() == 0;
-        if (idle || environment_.stop.must_end(now)) {
-            environment_.log.write(now, line_urgency::important, proxy_event::stopped,
-                                   {{"in_flight", std::to_string(environment_.in_flight)}});
-            environment_.log.flush(now);
-            watch_->stop();
-            source_.stop();
-            context_.stop();
+        const bool idle = environment_.running.empty() && callers_->connections() == 0;
+        if (idle || gave_up_) {
+            end(now);
             return;
         }
+        if (environment_.stop.must_end(now)) {
+            give_up_requests(now);
+        }
     }
     after(stop_pause_, stop_check, &proxy_host::continue_stop);
 }
 
+// A caller is better off with an answer that promises nothing than with a connection that ends.
+void proxy_host::give_up_requests(kernel::time_point now)
+{
+    gave_up_ = true;
+    // Each flow is kept until it has answered.
+    std::vector<std::shared_ptr<request_flow>> running;
+    for (auto* flow : environment_.running) {
+        running.push_back(flow->shared_from_this());
+    }
+    environment_.log.write(now, line_urgency::important, proxy_event::requests_given_up,
+                           {{"in_flight", std::to_string(running.size())}});
+    for (const auto& flow : running) {
+        flow->give_up();
+    }
+}
+
+void proxy_host::end(kernel::time_point now)
+{
+    environment_.log.write(now, line_urgency::important, proxy_event::stopped,
+                           {{"in_flight", std::to_string(environment_.running.size())}});
+    environment_.log.flush(now);
+    watch_->stop();
+    source_.stop();
+    context_.stop();
+}
+
 } // namespace wisterialane::proxy
--- a/libraries/proxy/proxy_host.h
+++ b/libraries/proxy/proxy_host.h
@@ -22,7 +22,8 @@
 struct reloadable_settings {
     retry_allowance retries;
     authority_bounds authority;
-    rate_tolerance rates;
+    /// Requests that a customer may get beyond its rate and burst in the operators' window.
+    double tolerated_requests = 0;
     /// Time from the request to stop until the process is killed.
     kernel::duration stop_grace = std::chrono::seconds{6};
     /// Longest time that callers may keep an answer with addresses.
@@ -93,6 +94,8 @@
     void send_relay(store_relay relay);
     [[nodiscard]] host_state own_state() const;
     void continue_stop();
+    void give_up_requests(kernel::time_point now);
+    void end(kernel::time_point now);
     void after(timer& pause, std::chrono::milliseconds time, void (proxy_host::*next)());
 
     io_context& context_;
@@ -113,6 +116,7 @@
     kernel::time_point started_at_{};
     kernel::time_point state_sent_at_{};
     bool ready_ = false;
+    bool gave_up_ = false;
     bool offered_ = false;
     bool reader_ = false;
 };
--- a/libraries/proxy/request_flow.cpp
+++ b/libraries/proxy/request_flow.cpp
@@ -59,12 +59,12 @@
     : use_{use}, session_{std::move(session)}, arrived_{session_->received_at()}, deadline_{use.context.get_executor()},
       hedge_{use.context.get_executor()}
 {
-    ++use_.in_flight;
+    use_.running.insert(this);
 }
 
 request_flow::~request_flow()
 {
-    --use_.in_flight;
+    use_.running.erase(this);
 }
 
 void request_flow::start()
@@ -492,6 +492,13 @@
     refuse({504, "deadline", std::nullopt});
 }
 
+void request_flow::give_up()
+{
+    if (!ended_) {
+        on_deadline();
+    }
+}
+
 void request_flow::on_departure()
 {
     if (ended_) {
--- a/libraries/proxy/request_flow.h
+++ b/libraries/proxy/request_flow.h
@@ -24,6 +24,9 @@
 
     void start();
 
+    /// Answers now with what is known, because the process ends.
+    void give_up();
+
 private:
     /// A request on its way to an upstream.
     struct attempt {
--- a/libraries/proxy/store_watch.cpp
+++ b/libraries/proxy/store_watch.cpp
@@ -15,7 +15,10 @@
 constexpr milliseconds upstreams_wait{2500};
 /// Changes that come in quick succession are read together.
 constexpr milliseconds upstreams_pause{100};
-constexpr milliseconds retry_pause{300};
+/// Pause after a failed call; doubles with each further failure, up to the longest. Every host calls while the store is
+/// away, and refused calls cost as well.
+constexpr milliseconds first_retry_pause{300};
+constexpr milliseconds longest_retry_pause{1200};
 /// A host that hears no relay for this time reads by itself. The reader relays after each answer, at least once in
 /// `configuration_wait`; a new version has to be in force within two seconds also when the reader fails.
 constexpr milliseconds relay_silence{1200};
@@ -25,8 +28,21 @@
 /// reader make no calls.
 constexpr milliseconds store_memory{60000};
 
+// After a call that failed on its way the next one asks for the changes since the same revision. Until then the relays
+// of the data centre's reader still fit.
+bool must_read_anew(const kernel::failure& reason)
+{
+    return !reason.is(proxy_event::store_unreachable) && !reason.is(proxy_event::store_refused);
+}
+
 } // namespace
 
+milliseconds retry_backoff::next()
+{
+    pause_ = pause_.count() == 0 ? first_retry_pause : std::min(longest_retry_pause, 2 * pause_);
+    return pause_;
+}
+
 store_watch::store_watch(io_context& context, control_source& source, upstream_directory& upstreams,
                          freshness& confirmed, proxy_metrics& metrics, kernel::decision_log& log, hooks use)
     : source_{source}, upstreams_{upstreams}, confirmed_{confirmed}, metrics_{metrics}, log_{log}, use_{std::move(use)},
@@ -106,12 +122,14 @@
     }
     if (!reading) {
         note_failure(reading.error());
-        // What was missed is unknown, so everything is read anew.
-        configuration_revision_.reset();
-        wait(configuration_pause_, retry_pause, &store_watch::watch_configuration);
+        if (must_read_anew(reading.error())) {
+            configuration_revision_.reset();
+        }
+        wait(configuration_pause_, configuration_retry_.next(), &store_watch::watch_configuration);
         return;
     }
     note_success(reading->at);
+    configuration_retry_.reset();
     upstreams_.settle(use_.clock());
     const bool in_force = !reading->configuration || use_.apply(*reading->configuration);
     if (in_force && use_.version().value() > 0) {
@@ -155,11 +173,14 @@
         if (!reading.error().is(proxy_event::store_history_lost)) {
             upstreams_.store_failed(now);
         }
-        upstreams_revision_.reset();
-        wait(upstreams_pause_, retry_pause, &store_watch::watch_upstreams);
+        if (must_read_anew(reading.error())) {
+            upstreams_revision_.reset();
+        }
+        wait(upstreams_pause_, upstreams_retry_.next(), &store_watch::watch_upstreams);
         return;
     }
     note_success(reading->at);
+    upstreams_retry_.reset();
     for (const auto& key : reading->unreadable) {
         log_.write(now, line_urgency::routine, proxy_event::upstream_entry_unreadable, {{"entry", key}});
     }
--- a/libraries/proxy/store_watch.h
+++ b/libraries/proxy/store_watch.h
@@ -14,6 +14,17 @@
 
 namespace wisterialane::proxy {
 
+/// The pause after each of several failures in a row.
+class retry_backoff {
+public:
+    [[nodiscard]] std::chrono::milliseconds next();
+
+    void reset() { pause_ = std::chrono::milliseconds{0}; }
+
+private:
+    std::chrono::milliseconds pause_{0};
+};
+
 /// Follows the store: waits for new versions of the configuration and for changes among the upstreams.
 ///
 /// Calls to the store cost, so in each data centre one host reads and relays what it reads to the others. A host that
@@ -75,6 +86,8 @@
     store_clock clock_;
     timer configuration_pause_;
     timer upstreams_pause_;
+    retry_backoff configuration_retry_;
+    retry_backoff upstreams_retry_;
     std::optional<store_revision> configuration_revision_;
     std::optional<store_revision> upstreams_revision_;
     std::optional<kernel::time_point> failing_since_;
--- /dev/null
+++ b/tests/edge/test_store_source.cpp
@@ -0,0 +1,152 @@
+#include "libraries/proxy/proxy_events.h"
+#include "platform/store_source.h"
+#include "tests/stand_ins/edge/store_stand_in.h"
+#include "tests/support/loopback.h"
+
+#include <doctest/doctest.h>
+
+namespace wisterialane::platform_adapter {
+namespace {
+
+using edge_stand_ins::store_mode;
+using std::chrono::milliseconds;
+
+constexpr const char* configuration = R"({"version":"00000003","limits":{"max_header_bytes":16384,"max_body_bytes":1000,
+"header_timeout":"3000ms","idle_timeout":"15s"},"listeners":[],"upstreams":[]})";
+
+constexpr const char* entry =
+    R"({"address":"10.0.0.9:80","born":1,"info":{"service":"s1","version":"v1","zone":"z1","max_concurrency":2},
+"status":{"state":"ready","seq":4}})";
+
+/// The source and the stand-in of the store on one thread, over loopback.
+struct source_fixture {
+    proxy::io_context context{1};
+    kernel::clock_source clock = [] { return kernel::boot_clock::now(); };
+    edge_stand_ins::store_stand_in store{context, clock};
+    proxy::tcp::endpoint address = *proxy::parse_endpoint(test_support::loopback_address(23001));
+    std::unique_ptr<store_source> source;
+
+    source_fixture()
+    {
+        REQUIRE(store.listen(address));
+        source = std::make_unique<store_source>(context, address, clock);
+    }
+
+    ~source_fixture() { source->stop(); }
+
+    source_fixture(const source_fixture&) = delete;
+    source_fixture& operator=(const source_fixture&) = delete;
+
+    /// Runs a call of the source to its end.
+    template <class T>
+    kernel::result<T> wait(const std::function<void(proxy::control_source::handler<T>)>& call)
+    {
+        std::optional<kernel::result<T>> outcome;
+        call([&outcome](kernel::result<T> reading) { outcome.emplace(std::move(reading)); });
+        const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds{10};
+        while (!outcome && std::chrono::steady_clock::now() < limit) {
+            context.run_one_for(milliseconds{50});
+        }
+        REQUIRE(outcome);
+        return *outcome;
+    }
+
+    kernel::result<proxy::upstreams_reading> read_upstreams()
+    {
+        return wait<proxy::upstreams_reading>([this](auto done) { source->read_upstreams(std::move(done)); });
+    }
+
+    kernel::result<proxy::upstreams_reading> await_changes(proxy::store_revision after)
+    {
+        return wait<proxy::upstreams_reading>(
+            [this, after](auto done) { source->await_upstream_changes(after, milliseconds{300}, std::move(done)); });
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(source_fixture, "store_source: published configuration: is read with its version")
+{
+    store.put("op", "config", configuration);
+    const auto reading =
+        wait<proxy::configuration_reading>([this](auto done) { source->read_configuration(std::move(done)); });
+    REQUIRE(reading);
+    REQUIRE(reading->configuration);
+    CHECK(reading->configuration->version == kernel::version_number{3});
+}
+
+// Guards against upstreams that are forgotten because an answer holds only the first rows.
+TEST_CASE_FIXTURE(source_fixture, "store_source: more entries than one answer holds: all are read")
+{
+    for (int index = 0; index < 120; ++index) {
+        store.put("servers", "i-" + std::to_string(index), entry);
+    }
+    store.put("servers", "foreign", "not json");
+    const auto reading = read_upstreams();
+    REQUIRE(reading);
+    CHECK(reading->present.size() == 120);
+    CHECK(reading->unreadable == std::vector<std::string>{"foreign"});
+}
+
+TEST_CASE_FIXTURE(source_fixture, "store_source: entry removed while a call waits: the call tells it")
+{
+    store.put("servers", "i-1", entry);
+    const auto before = read_upstreams();
+    REQUIRE(before);
+    proxy::timer pause{context.get_executor(), milliseconds{50}};
+    pause.async_wait([this](proxy::error_code) { store.erase("servers", "i-1"); });
+    const auto change = await_changes(before->at.revision);
+    REQUIRE(change);
+    CHECK(change->removed == std::vector{kernel::upstream_name{"i-1"}});
+    CHECK(change->at.revision > before->at.revision);
+}
+
+TEST_CASE_FIXTURE(source_fixture, "store_source: nothing changes: the call ends without a change after its wait")
+{
+    const auto before = read_upstreams();
+    const auto change = await_changes(before->at.revision);
+    REQUIRE(change);
+    CHECK(change->present.empty());
+    CHECK(change->removed.empty());
+}
+
+// Guards against changes that are taken to be none because the store has dropped them.
+TEST_CASE_FIXTURE(source_fixture, "store_source: history dropped: says so")
+{
+    const auto before = read_upstreams();
+    store.put("servers", "i-1", entry);
+    store.forget_history();
+    const auto change = await_changes(before->at.revision);
+    REQUIRE_FALSE(change);
+    CHECK(change.error().is(proxy::proxy_event::store_history_lost));
+}
+
+TEST_CASE_FIXTURE(source_fixture,
+                  "store_source: store refuses or is silent: fails with the reason and works afterwards")
+{
+    store.set_mode(store_mode::busy);
+    const auto refused = read_upstreams();
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().is(proxy::proxy_event::store_refused));
+    store.set_mode(store_mode::silent);
+    const auto silent = read_upstreams();
+    REQUIRE_FALSE(silent);
+    CHECK(silent.error().is(proxy::proxy_event::store_unreachable));
+    store.set_mode(store_mode::up);
+    CHECK(read_upstreams());
+}
+
+TEST_CASE_FIXTURE(source_fixture, "store_source: host registered: is read back")
+{
+    const proxy::host_record self{kernel::host_name{"h1"}, kernel::data_centre_name{"z1"},
+                                  kernel::socket_address{"10.0.0.1:1"}, kernel::socket_address{"10.0.0.1:2"}, 0.5};
+    REQUIRE(wait<proxy::store_reading>([&](auto done) { source->register_host(self, std::move(done)); }));
+    const auto hosts = wait<proxy::hosts_reading>([this](auto done) { source->read_hosts(std::move(done)); });
+    REQUIRE(hosts);
+    REQUIRE(hosts->hosts.size() == 1);
+    CHECK(hosts->hosts[0].host == self.host);
+    CHECK(hosts->hosts[0].peer_address == self.peer_address);
+    CHECK(hosts->hosts[0].processor_share == 0.5);
+}
+
+} // namespace wisterialane::platform_adapter
--- a/tests/proxy/test_load_balancer.cpp
+++ b/tests/proxy/test_load_balancer.cpp
@@ -108,4 +108,24 @@
     CHECK(directory.of_service(kernel::service_name{"archive"}).empty());
 }
 
+// Guards against slow upstreams that stay without work while callers go unserved (seen on skm-gateway-grown,
+// trouble-3).
+TEST_CASE_FIXTURE(balancer_fixture, "load_balancer: strained service: every sound upstream gets requests in turn")
+{
+    add(20);
+    for (int index = 0; index < 20; ++index) {
+        item("here" + std::to_string(index)).latency = milliseconds{100 + 20 * index};
+    }
+    for (int result = 0; result < 20; ++result) {
+        balancer.record_result(request.service, result % 2 == 0, now);
+    }
+    std::set<std::string> used;
+    for (int count = 0; count < 30; ++count) {
+        const auto chosen = balancer.choose(request, now);
+        REQUIRE(chosen);
+        used.insert((*chosen)->record.id.value());
+    }
+    CHECK(used.size() >= 14);
+}
+
 } // namespace wisterialane::proxy
--- a/tests/proxy/test_proxy_host.cpp
+++ b/tests/proxy/test_proxy_host.cpp
@@ -234,4 +234,20 @@
     run_until([this] { return context.stopped(); });
 }
 
+// Found by the soak (seeds 1 and 14): the process ended while an upstream hung, and its caller got no answer at all.
+TEST_CASE_FIXTURE(host_fixture,
+                  "proxy_host: asked to stop while an upstream hangs: its caller gets an answer before the end")
+{
+    add_upstream("u1", [](const auto&) { return scripted_reply{{}, false, true}; });
+    settings.reloadable.stop_grace = std::chrono::milliseconds{1500};
+    start();
+    const auto caller = std::make_shared<scripted_caller>(context);
+    caller->send(settings.callers, get_request("r1"));
+    context.run_for(std::chrono::milliseconds{100});
+    host->begin_stop();
+    run_until([&caller] { return caller->done; });
+    CHECK(caller->status == 504);
+    run_until([this] { return context.stopped(); });
+}
+
 } // namespace wisterialane::proxy
--- a/tests/proxy/test_store_watch.cpp
+++ b/tests/proxy/test_store_watch.cpp
@@ -178,6 +178,34 @@
     CHECK(watch->patience(now) == kernel::duration::zero());
 }
 
+// Guards against hosts that all read by themselves while their store calls fail, though the reader still relays.
+TEST_CASE_FIXTURE(watch_fixture, "store_watch: own call fails: relays still fit and nothing is read anew")
+{
+    reader = true;
+    watch->begin_reading();
+    REQUIRE(source.upstreams);
+    const auto done = std::exchange(source.upstreams, nullptr);
+    done(kernel::fail(proxy_event::store_unreachable));
+    reader = false;
+    auto news = relay(10, 11);
+    news.present = {make_upstream("d")};
+    watch->hear(news);
+    CHECK(directory.find(kernel::upstream_name{"d"}) != nullptr);
+    CHECK(watch->patience(now) > kernel::duration::zero());
+    CHECK(source.complete_reads == 1);
+}
+
+TEST_CASE("retry_backoff: failures in a row: the pause doubles up to 1.2 s and starts anew after a success")
+{
+    retry_backoff backoff;
+    CHECK(backoff.next() == milliseconds{300});
+    CHECK(backoff.next() == milliseconds{600});
+    CHECK(backoff.next() == milliseconds{1200});
+    CHECK(backoff.next() == milliseconds{1200});
+    backoff.reset();
+    CHECK(backoff.next() == milliseconds{300});
+}
+
 TEST_CASE("store_clock: slow answers: the bound stays that of the quickest call")
 {
     store_clock clock;
--- /dev/null
+++ b/tests/soak/soak_fleet.cpp
@@ -0,0 +1,112 @@
+#include "tests/soak/soak_fleet.h"
+
+#include "tests/support/loopback.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <stdexcept>
+
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace wisterialane::soak {
+namespace {
+
+using nlohmann::json;
+
+/// Ports of one host, from its first.
+constexpr std::uint16_t caller_port = 0;
+constexpr std::uint16_t readiness_port = 1;
+constexpr std::uint16_t control_port = 2;
+constexpr std::uint16_t directory_port = 3;
+constexpr std::uint16_t first_peer_port = 4;
+constexpr std::uint16_t last_peer_port = 5;
+constexpr std::uint16_t store_port = 6;
+
+json bounds()
+{
+    return {{"seed_lag", "3s"},         {"stable", "3000ms"},   {"drain", "2000ms"},    {"grace", "6s"},
+            {"config_apply", "2000ms"}, {"revoke", "5000ms"},   {"budget_ratio", 0.2},  {"budget_window", "10s"},
+            {"budget_slack", 58},       {"quota_window", "5s"}, {"quota_overage", 0.1}, {"quota_slack", 20},
+            {"recovery", "15s"},        {"ttl_max", "5s"}};
+}
+
+} // namespace
+
+soak_host::soak_host(proxy::io_context& context, kernel::clock_source clock, const proxy::tcp::endpoint& store_address,
+                     std::string name, std::string data_centre, std::uint16_t first_port)
+    : clock_{std::move(clock)}, name_{std::move(name)}
+{
+    const auto address = [first_port](std::uint16_t offset) {
+        return test_support::loopback_address(static_cast<std::uint16_t>(first_port + offset)).value();
+    };
+    caller_address_ = address(caller_port);
+    directory_ = *proxy::parse_endpoint(kernel::socket_address{address(directory_port)});
+    store_relay_ = std::make_shared<edge_stand_ins::tcp_relay>(context, store_address);
+    if (!store_relay_->listen(*proxy::parse_endpoint(kernel::socket_address{address(store_port)}))) {
+        throw std::runtime_error{"relay of " + name_};
+    }
+    const auto ip = caller_address_.substr(0, caller_address_.find(':'));
+    const json settings{{"node_name", name_},
+                        {"bind_ip", ip},
+                        {"zone", data_centre},
+                        {"listen",
+                         {{"front", address(caller_port)},
+                          {"ready", address(readiness_port)},
+                          {"control", address(control_port)},
+                          {"directory", address(directory_port)}}},
+                        {"internal_ports", {first_port + first_peer_port, first_port + last_peer_port}},
+                        {"limits", {{"cpu_share", 0.2}, {"cpu_cores", 1}}},
+                        {"bounds", bounds()},
+                        {"provider", {{"address", address(store_port)}}}};
+    const char* folder = std::getenv("TMPDIR");
+    settings_path_ = std::string{folder == nullptr ? "/tmp" : folder} + "/wisterialane-soak-" +
+                     std::to_string(::getpid()) + "-" + name_ + ".json";
+    std::ofstream{settings_path_} << settings.dump(2);
+}
+
+soak_host::~soak_host()
+{
+    ::unlink(settings_path_.c_str());
+}
+
+// The output of the program is a pipe that nobody reads, so a host that waits for its log stands still.
+void soak_host::start()
+{
+    process_ = std::make_unique<test_support::child_process>(
+        name_, "wisterialane", std::vector<std::string>{"edge", "--settings-file", settings_path_});
+}
+
+void soak_host::send_signal(int signal) const
+{
+    if (process_) {
+        process_->send_signal(signal);
+    }
+}
+
+void soak_host::kill()
+{
+    excuse();
+    process_.reset();
+}
+
+bool soak_host::has_ended()
+{
+    if (!process_) {
+        return false;
+    }
+    static_cast<void>(process_->wait_for_exit(std::chrono::milliseconds{0}));
+    if (process_->id() > 0) {
+        return false;
+    }
+    process_.reset();
+    return true;
+}
+
+bool soak_host::is_excused(kernel::time_point sent) const
+{
+    return excused_at_ && *excused_at_ >= sent - std::chrono::seconds{1};
+}
+
+} // namespace wisterialane::soak
--- /dev/null
+++ b/tests/soak/soak_fleet.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "tests/stand_ins/edge/store_stand_in.h"
+#include "tests/stand_ins/edge/tcp_relay.h"
+#include "tests/support/child_process.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wisterialane::soak {
+
+/// One process of the real program, with its settings file and the relay between it and the store.
+class soak_host {
+public:
+    soak_host(proxy::io_context& context, kernel::clock_source clock, const proxy::tcp::endpoint& store,
+              std::string name, std::string data_centre, std::uint16_t first_port);
+    soak_host(const soak_host&) = delete;
+    soak_host& operator=(const soak_host&) = delete;
+    ~soak_host();
+
+    void start();
+    void send_signal(int signal) const;
+    /// Ends the process at once.
+    void kill();
+    /// Whether the process has ended by itself; collects it then.
+    [[nodiscard]] bool has_ended();
+
+    /// The host did or suffered something by which connections to it may end.
+    void excuse() { excused_at_ = clock_(); }
+
+    [[nodiscard]] bool is_excused(kernel::time_point sent) const;
+
+    [[nodiscard]] bool is_running() const { return process_ != nullptr; }
+
+    [[nodiscard]] const std::string& name() const { return name_; }
+
+    [[nodiscard]] const std::string& caller_address() const { return caller_address_; }
+
+    [[nodiscard]] const proxy::tcp::endpoint& directory() const { return directory_; }
+
+    [[nodiscard]] edge_stand_ins::tcp_relay& store_relay() { return *store_relay_; }
+
+private:
+    kernel::clock_source clock_;
+    std::string name_;
+    std::string caller_address_;
+    proxy::tcp::endpoint directory_;
+    std::string settings_path_;
+    std::shared_ptr<edge_stand_ins::tcp_relay> store_relay_;
+    std::unique_ptr<test_support::child_process> process_;
+    std::optional<kernel::time_point> excused_at_;
+};
+
+} // namespace wisterialane::soak
--- a/utilities/wisterialanectl/control_settings.cpp
+++ b/utilities/wisterialanectl/control_settings.cpp
@@ -27,6 +27,8 @@
   history                       show the newest versions
   version N                     show how many hosts hold a version
   status                        show the state of the host that is asked
+  explain REQUEST [--file F] [--json]
+                                what the log lines of hosts, on standard input or in a file, say about a request
 
 A file holds {"changes": [...], "base_version": N}; the base version may be left out. A change is
 {"put": {"kind": ..., "name": ..., ...}} or {"delete": {"kind": ..., "name": ...}}.
--- a/utilities/wisterialanectl/main.cpp
+++ b/utilities/wisterialanectl/main.cpp
@@ -1,8 +1,10 @@
 #include "utilities/wisterialanectl/control_commands.h"
 #include "utilities/wisterialanectl/control_output.h"
 #include "utilities/wisterialanectl/control_settings.h"
+#include "utilities/wisterialanectl/request_explanation.h"
 
 #include <iostream>
+#include <string_view>
 
 namespace {
 
@@ -28,6 +30,10 @@
 
 int main(int argument_count, char** arguments)
 {
+    // Needs lines of hosts only, no connection to one.
+    if (argument_count > 1 && std::string_view{arguments[1]} == "explain") {
+        return run_explain_command(argument_count - 1, arguments + 1);
+    }
     const auto settings = read_settings(argument_count, arguments);
     if (!settings) {
         return report(settings.error(), output_form::table);
