--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Thin front end over CMake; the presets are in CMakePresets.json.
 JOBS ?= 6
 
-.PHONY: all packages build test demo lint format clean
+.PHONY: all packages build test demo soak lint format clean
 
 all: build
 
@@ -18,6 +18,12 @@
 demo: build
 	build/bin/demo
 
+# Runs of the edge program under faults, a few at a time; the seeds follow FIRST.
+SEEDS ?= 50
+FIRST ?= 1
+soak: build
+	seq $(FIRST) $$(($(FIRST) + $(SEEDS) - 1)) | xargs -P $(JOBS) -I{} build/bin/edge_soak --first-seed {}
+
 lint: build
 	Meta/check_format
 	Meta/check_lint
--- a/tests/proxy/test_proxy_host.cpp
+++ b/tests/proxy/test_proxy_host.cpp
@@ -250,4 +250,18 @@
     run_until([this] { return context.stopped(); });
 }
 
+// Guards against one request that takes down an upstream after another.
+TEST_CASE_FIXTURE(host_fixture,
+                  "proxy_host: request closes the connections of three upstreams: the next one is refused")
+{
+    for (const auto* id : {"u1", "u2", "u3", "u4"}) {
+        add_upstream(id, [](const auto&) { return scripted_reply{{}, true, false}; });
+    }
+    start();
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        CHECK(call(post_request("r" + std::to_string(attempt), "the same body"))->status == 502);
+    }
+    CHECK(call(post_request("r3", "the same body"))->status == 503);
+}
+
 } // namespace wisterialane::proxy
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -91,6 +91,7 @@
     void stop_host();
     void await_end(soak_host& host, kernel::time_point kill_at);
     void kill_host(soak_host& host);
+    void kill_all_hosts();
     void pause_host();
     void disturb_store();
     void cut_host_from_store();
@@ -237,7 +238,7 @@
 
 void soak::inject()
 {
-    switch (random_() % 12) {
+    switch (random_() % 13) {
     case 0:
     case 1:
         return stop_host();
@@ -259,6 +260,8 @@
         return cut_upstream();
     case 10:
         return replace_upstream();
+    case 11:
+        return kill_all_hosts();
     default:
         return change_configuration();
     }
@@ -308,6 +311,13 @@
     });
 }
 
+void soak::kill_all_hosts()
+{
+    for (const auto& host : hosts_) {
+        kill_host(*host);
+    }
+}
+
 void soak::pause_host()
 {
     auto& host = some_host();
