Proxy: Relays start no store call while the pause after a failure lasts; changes read together each 250 ms

Each relay of a newer version started one at once at every host that the store refused, past the pause. Ruled out: the list of hosts (274) and the entries (274).

--- a/libraries/proxy/store_watch.cpp
+++ b/libraries/proxy/store_watch.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds configuration_wait{900};
 constexpr milliseconds upstreams_wait{2500};
 /// Changes that come in quick succession are read together.
-constexpr milliseconds upstreams_pause{100};
+constexpr milliseconds upstreams_pause{250};
 /// Pause after a failed call; doubles with each further failure, up to the longest. Every host calls while the store is
 /// away, and refused calls cost as well.
 constexpr milliseconds first_retry_pause{300};
@@ -37,9 +37,10 @@
 
 } // namespace
 
-milliseconds retry_backoff::next()
+milliseconds retry_backoff::next(kernel::time_point now)
 {
     pause_ = pause_.count() == 0 ? first_retry_pause : std::min(longest_retry_pause, 2 * pause_);
+    until_ = now + pause_;
     return pause_;
 }
 
@@ -125,7 +126,7 @@
         if (must_read_anew(reading.error())) {
             configuration_revision_.reset();
         }
-        wait(configuration_pause_, configuration_retry_.next(), &store_watch::watch_configuration);
+        wait(configuration_pause_, configuration_retry_.next(use_.clock()), &store_watch::watch_configuration);
         return;
     }
     note_success(reading->at);
@@ -176,7 +177,7 @@
         if (must_read_anew(reading.error())) {
             upstreams_revision_.reset();
         }
-        wait(upstreams_pause_, upstreams_retry_.next(), &store_watch::watch_upstreams);
+        wait(upstreams_pause_, upstreams_retry_.next(now), &store_watch::watch_upstreams);
         return;
     }
     note_success(reading->at);
@@ -231,7 +232,8 @@
     relay_heard_at_ = now;
     upstreams_.settle(now);
     if (relay.version > use_.version()) {
-        if (!reading_configuration_) {
+        // After a failure the next call keeps its pause, however many relays come.
+        if (!reading_configuration_ && !configuration_retry_.is_pausing(now)) {
             configuration_revision_.reset();
             configuration_pause_.cancel();
             watch_configuration();
--- a/libraries/proxy/store_watch.h
+++ b/libraries/proxy/store_watch.h
@@ -17,12 +17,16 @@
 /// The pause after each of several failures in a row.
 class retry_backoff {
 public:
-    [[nodiscard]] std::chrono::milliseconds next();
+    [[nodiscard]] std::chrono::milliseconds next(kernel::time_point now);
+
+    /// Whether the pause after the last failure still lasts.
+    [[nodiscard]] bool is_pausing(kernel::time_point now) const { return now < until_; }
 
     void reset() { pause_ = std::chrono::milliseconds{0}; }
 
 private:
     std::chrono::milliseconds pause_{0};
+    kernel::time_point until_{};
 };
 
 /// Follows the store: waits for new versions of the configuration and for changes among the upstreams.
--- a/tests/proxy/test_store_watch.cpp
+++ b/tests/proxy/test_store_watch.cpp
@@ -195,15 +195,31 @@
     CHECK(source.complete_reads == 1);
 }
 
+// Guards against a call for each relay while the store refuses this host (asiis-gw-grown, trouble-1).
+TEST_CASE_FIXTURE(watch_fixture, "store_watch: newer version, own read fails: further relays start no call at once")
+{
+    auto news = relay(10, 10);
+    news.version = kernel::version_number{6};
+    watch->hear(news);
+    REQUIRE(source.configuration);
+    const auto done = std::exchange(source.configuration, nullptr);
+    done(kernel::fail(proxy_event::store_refused));
+    watch->hear(news);
+    CHECK_FALSE(source.configuration);
+    now += milliseconds{300};
+    watch->hear(news);
+    CHECK(source.configuration);
+}
+
 TEST_CASE("retry_backoff: failures in a row: the pause doubles up to 1.2 s and starts anew after a success")
 {
     retry_backoff backoff;
-    CHECK(backoff.next() == milliseconds{300});
-    CHECK(backoff.next() == milliseconds{600});
-    CHECK(backoff.next() == milliseconds{1200});
-    CHECK(backoff.next() == milliseconds{1200});
+    CHECK(backoff.next(test_start) == milliseconds{300});
+    CHECK(backoff.next(test_start) == milliseconds{600});
+    CHECK(backoff.next(test_start) == milliseconds{1200});
+    CHECK(backoff.next(test_start) == milliseconds{1200});
     backoff.reset();
-    CHECK(backoff.next() == milliseconds{300});
+    CHECK(backoff.next(test_start) == milliseconds{300});
 }
 
 TEST_CASE("store_clock: slow answers: the bound stays that of the quickest call")
