Tests: Keep what the threads of a fleet write until the fleet is gone; take addresses of the own process

test_peers, 'peer services: hooks', ended with a segmentation fault once in the tests (and in 1 of 240 runs of the case alone, eight at a time). Cause: a set and a mutex of the test case were captured by reference and destroyed before the fixture's hosts, whose threads still called the hook. The same in the first case of the file. Ruled out: the code under test; it is unchanged, and the checks are the same.

--- a/tests/peers/peer_fleet.cpp
+++ b/tests/peers/peer_fleet.cpp
@@ -9,11 +9,6 @@
 
 #include <doctest/doctest.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 namespace wisterialane::services {
 namespace {
 
@@ -66,20 +61,6 @@
     return true;
 }
 
-kernel::socket_address free_address()
-{
-    const int handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    REQUIRE(handle >= 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof(address);
-    REQUIRE(::bind(handle, reinterpret_cast<const sockaddr*>(&address), length) == 0);
-    REQUIRE(::getsockname(handle, reinterpret_cast<sockaddr*>(&address), &length) == 0);
-    ::close(handle);
-    return kernel::socket_address{"127.0.0.1:" + std::to_string(ntohs(address.sin_port))};
-}
-
 kernel::result<std::optional<platform::row>> gated_platform::read(std::string_view table_name, std::string_view key)
 {
     return cut_ ? unreachable() : behind_.read(table_name, key);
--- a/tests/peers/peer_fleet.h
+++ b/tests/peers/peer_fleet.h
@@ -4,6 +4,7 @@
 #include "services/configuration_service.h"
 #include "services/peer_service.h"
 #include "tests/stand_ins/platform/memory_platform.h"
+#include "tests/support/loopback.h"
 
 #include <atomic>
 #include <chrono>
@@ -18,9 +19,6 @@
 /// Polls the condition until it holds, for at most a generous limit; returns whether it does.
 bool eventually(const std::function<bool()>& condition, std::chrono::seconds limit = std::chrono::seconds{30});
 
-/// A port of the loopback address that was free just now.
-kernel::socket_address free_address();
-
 /// One host's way to the platform, which the test can cut.
 class gated_platform : public platform::table, public platform::object_store, public platform::host_list {
 public:
@@ -77,7 +75,8 @@
 protected:
     peer_fleet();
 
-    peer_host& add_host(const std::string& name, const kernel::socket_address& address = free_address());
+    peer_host& add_host(const std::string& name,
+                        const kernel::socket_address& address = test_support::free_loopback_address());
 
     /// Adds hosts and waits until all of them are in the roster, fresh, and know the roster as accepted.
     void start_fleet(std::size_t count);
--- a/tests/peers/test_peer_services.cpp
+++ b/tests/peers/test_peer_services.cpp
@@ -3,9 +3,11 @@
 #include "tests/peers/peer_fleet.h"
 
 #include <chrono>
+#include <memory>
 #include <mutex>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -14,6 +16,14 @@
 
 using std::chrono::milliseconds;
 
+/// What the threads of a fleet write and a test reads. Shared, because the hosts run until after the test's own
+/// variables are gone.
+template <class T>
+struct guarded {
+    std::mutex mutex;
+    T value;
+};
+
 bool holds(const peer_host& item, kernel::version_number version)
 {
     return item.configuration.version().value() >= version.value();
@@ -22,11 +32,10 @@
 // Guards against a record that stops at some host, and against listeners that miss or repeat a version.
 TEST_CASE_FIXTURE(peer_fleet, "peer services: record published: reaches all hosts, is accepted and settles")
 {
-    std::mutex mutex;
-    std::vector<std::uint64_t> heard;
-    add_host("first").configuration.add_listener([&](const configuration::configuration_set& set) {
-        const std::lock_guard lock{mutex};
-        heard.push_back(set.version().value());
+    const auto heard = std::make_shared<guarded<std::vector<std::uint64_t>>>();
+    add_host("first").configuration.add_listener([heard](const configuration::configuration_set& set) {
+        const std::lock_guard lock{heard->mutex};
+        heard->value.push_back(set.version().value());
     });
     hosts_.front()->start();
     for (const auto* name : {"second", "third"}) {
@@ -47,9 +56,9 @@
         return all(
             [&](const auto& item) { return item.configuration.settled_version(clock_()).value() >= version.value(); });
     }));
-    const std::lock_guard lock{mutex};
-    for (std::size_t index = 0; index < heard.size(); ++index) {
-        CHECK(heard[index] == index + 1);
+    const std::lock_guard lock{heard->mutex};
+    for (std::size_t index = 0; index < heard->value.size(); ++index) {
+        CHECK(heard->value[index] == index + 1);
     }
 }
 
@@ -150,8 +159,7 @@
 // Guards against evidence, loans and draining that do not reach the other hosts' services.
 TEST_CASE_FIXTURE(peer_fleet, "peer services: hooks: carry evidence, loans and draining")
 {
-    std::mutex mutex;
-    std::set<std::string> reporters;
+    const auto reporters = std::make_shared<guarded<std::set<std::string>>>();
     auto& first = add_host("first");
     auto& second = add_host("second");
     second.peers.set_evidence_source([&second] {
@@ -159,9 +167,9 @@
         report.reporter = second.entry.instance;
         return report;
     });
-    first.peers.set_evidence_sink([&](const health::evidence_report& report, kernel::time_point) {
-        const std::lock_guard lock{mutex};
-        reporters.insert(report.reporter.value());
+    first.peers.set_evidence_sink([reporters](const health::evidence_report& report, kernel::time_point) {
+        const std::lock_guard lock{reporters->mutex};
+        reporters->value.insert(report.reporter.value());
     });
     second.peers.set_loan_handler([](const kernel::instance_id&, const std::vector<limits::loan_request>& requests) {
         return std::vector<limits::loan>{{requests.at(0).customer, requests.at(0).sequence, {3, 4}}};
@@ -169,8 +177,8 @@
     first.start();
     second.start();
     CHECK(eventually([&] {
-        const std::lock_guard lock{mutex};
-        return reporters == std::set<std::string>{second.entry.instance.value()};
+        const std::lock_guard lock{reporters->mutex};
+        return reporters->value == std::set<std::string>{second.entry.instance.value()};
     }));
     const auto loans = first.peers.request_loans(second.entry, {{kernel::customer_name{"c"}, {}, 5, {9, 9}}});
     REQUIRE(loans);
--- a/tests/proxy/host_fixture.cpp
+++ b/tests/proxy/host_fixture.cpp
@@ -14,11 +14,9 @@
 
 constexpr std::chrono::seconds generous_limit{20};
 
-// An address that no other fixture of this process has used.
 tcp::endpoint free_endpoint()
 {
-    static std::uint16_t next_port = 7000;
-    return *parse_endpoint(test_support::loopback_address(++next_port));
+    return *parse_endpoint(test_support::free_loopback_address());
 }
 
 std::string text_of(const tcp::endpoint& endpoint)
--- a/tests/support/loopback.cpp
+++ b/tests/support/loopback.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/loopback.h"
 
+#include <atomic>
 #include <string>
 
 #include <unistd.h>
@@ -15,4 +16,10 @@
     return kernel::socket_address{ip + ":" + std::to_string(port)};
 }
 
+kernel::socket_address free_loopback_address()
+{
+    static std::atomic<std::uint16_t> next_port = 7000;
+    return loopback_address(++next_port);
+}
+
 } // namespace wisterialane::test_support
--- a/tests/support/loopback.h
+++ b/tests/support/loopback.h
@@ -10,4 +10,7 @@
 /// servers can be given fixed ports before they start.
 [[nodiscard]] kernel::socket_address loopback_address(std::uint16_t port);
 
+/// A loopback address that no other caller in this process gets, and no other process.
+[[nodiscard]] kernel::socket_address free_loopback_address();
+
 } // namespace wisterialane::test_support
