Proxy: One copy of listening, peeking and query parameters; remove code that nothing calls

Found on reading the whole change again. caller_listener and the tests' relay opened acceptors alike (listen_at); caller_session and upstream_connections looked at sockets alike (peek); the store stand-in parsed queries beside proxy_host (query_parameter) and decoded keys beside libraries/encoding; soak and child_process found the temporary folder alike; the quota fixture offered requests twice. Removed: single_use, peer_channel::close, upstream_connections::clear and accessors of the stand-ins, none of them called. The latency of a service is worked out only where it is used: not for each admitted request of a host that does not stop, nor after each answer without an open attempt, and once for a hedge.

--- a/libraries/proxy/caller_listener.cpp
+++ b/libraries/proxy/caller_listener.cpp
@@ -1,7 +1,5 @@
 #include "libraries/proxy/caller_listener.h"
 
-#include "libraries/proxy/proxy_events.h"
-
 namespace wisterialane::proxy {
 namespace {
 
@@ -18,20 +16,11 @@
 
 kernel::result<void> caller_listener::listen(const tcp::endpoint& address)
 {
-    error_code failed;
-    acceptor_.open(address.protocol(), failed);
-    if (!failed) {
-        acceptor_.set_option(tcp::acceptor::reuse_address{true}, failed);
-        acceptor_.bind(address, failed);
-    }
-    if (!failed) {
-        acceptor_.listen(backlog, failed);
-    }
-    if (failed) {
-        return kernel::fail(proxy_event::listen_failed, failed.message());
+    auto listening = listen_at(acceptor_, address, backlog);
+    if (listening) {
+        accept();
     }
-    accept();
-    return {};
+    return listening;
 }
 
 void caller_listener::accept()
--- a/libraries/proxy/caller_listener.h
+++ b/libraries/proxy/caller_listener.h
@@ -25,12 +25,10 @@
     [[nodiscard]] std::size_t connections();
 
 private:
-    using acceptor = boost::asio::basic_socket_acceptor<tcp, io_context::executor_type>;
-
     void accept();
     void prune();
 
-    acceptor acceptor_;
+    tcp_acceptor acceptor_;
     timer pause_;
     std::shared_ptr<const session_hooks> hooks_;
     std::list<std::weak_ptr<caller_session>> sessions_;
--- a/libraries/proxy/caller_session.cpp
+++ b/libraries/proxy/caller_session.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/status.hpp>
-#include <sys/socket.h>
 
 namespace wisterialane::proxy {
 namespace {
@@ -175,9 +174,7 @@
     if (!answering_ || !departed_) {
         return;
     }
-    char byte = 0;
-    const auto count = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (count > 0 || (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))) {
+    if (peek(stream_.socket()) != pending_input::end) {
         return;
     }
     const auto notify = std::exchange(departed_, nullptr);
--- a/libraries/proxy/message_headers.cpp
+++ b/libraries/proxy/message_headers.cpp
@@ -116,4 +116,20 @@
     return std::chrono::milliseconds{value};
 }
 
+std::string_view query_parameter(std::string_view target, std::string_view name)
+{
+    auto rest = target.substr(std::min(target.size(), target.find('?')));
+    while (!rest.empty()) {
+        rest.remove_prefix(1);
+        const auto end = std::min(rest.size(), rest.find('&'));
+        const auto item = rest.substr(0, end);
+        const auto equals = item.find('=');
+        if (equals != std::string_view::npos && item.substr(0, equals) == name) {
+            return item.substr(equals + 1);
+        }
+        rest.remove_prefix(end);
+    }
+    return {};
+}
+
 } // namespace wisterialane::proxy
--- a/libraries/proxy/message_headers.h
+++ b/libraries/proxy/message_headers.h
@@ -37,6 +37,9 @@
 /// Tells a request apart from others: equal for the same customer, method, target and body.
 [[nodiscard]] std::uint64_t fingerprint_of(const http_request& request, const kernel::customer_name& customer);
 
+/// The value of a parameter in a target's query as it stands there, or nothing at all.
+[[nodiscard]] std::string_view query_parameter(std::string_view target, std::string_view name);
+
 [[nodiscard]] std::string_view to_view(boost::beast::string_view text);
 
 } // namespace wisterialane::proxy
--- a/libraries/proxy/network.cpp
+++ b/libraries/proxy/network.cpp
@@ -1,8 +1,12 @@
 #include "libraries/proxy/network.h"
 
+#include "libraries/proxy/proxy_events.h"
+
+#include <cerrno>
 #include <charconv>
 
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace wisterialane::proxy {
 
@@ -32,4 +36,32 @@
     socket.set_option(boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>{timeout}, ignored);
 }
 
+kernel::result<void> listen_at(tcp_acceptor& acceptor, const tcp::endpoint& address, int backlog)
+{
+    error_code failed;
+    acceptor.open(address.protocol(), failed);
+    if (!failed) {
+        acceptor.set_option(tcp::acceptor::reuse_address{true}, failed);
+        acceptor.bind(address, failed);
+    }
+    if (!failed) {
+        acceptor.listen(backlog, failed);
+    }
+    if (failed) {
+        return kernel::fail(proxy_event::listen_failed, failed.message());
+    }
+    return {};
+}
+
+pending_input peek(tcp_stream::socket_type& socket)
+{
+    char byte = 0;
+    const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0) {
+        return pending_input::bytes;
+    }
+    const bool empty = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return empty ? pending_input::none : pending_input::end;
+}
+
 } // namespace wisterialane::proxy
--- a/libraries/proxy/network.h
+++ b/libraries/proxy/network.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "kernel/clock.h"
+#include "kernel/failure.h"
 #include "kernel/identifiers.h"
 
 #include <chrono>
 #include <optional>
 
+#include <boost/asio/basic_socket_acceptor.hpp>
 #include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -22,6 +24,8 @@
 /// A TCP connection whose operations can have a timeout.
 using tcp_stream = boost::beast::basic_stream<tcp, io_context::executor_type>;
 
+using tcp_acceptor = boost::asio::basic_socket_acceptor<tcp, io_context::executor_type>;
+
 using timer =
     boost::asio::basic_waitable_timer<std::chrono::steady_clock, boost::asio::wait_traits<std::chrono::steady_clock>,
                                       io_context::executor_type>;
@@ -32,4 +36,13 @@
 /// Sends small messages at once, and breaks the connection when the peer acknowledges nothing for `unacknowledged`.
 void tune(tcp_stream::socket_type& socket, std::chrono::milliseconds unacknowledged);
 
+/// Opens, binds and listens. Fails with `listen_failed`.
+kernel::result<void> listen_at(tcp_acceptor& acceptor, const tcp::endpoint& address, int backlog);
+
+/// What a read of a connection would meet now.
+enum class pending_input { none, bytes, end };
+
+/// Looks without reading.
+[[nodiscard]] pending_input peek(tcp_stream::socket_type& socket);
+
 } // namespace wisterialane::proxy
--- a/libraries/proxy/peer_channel.cpp
+++ b/libraries/proxy/peer_channel.cpp
@@ -53,10 +53,4 @@
                                });
 }
 
-void peer_channel::close()
-{
-    error_code ignored;
-    socket_.close(ignored);
-}
-
 } // namespace wisterialane::proxy
--- a/libraries/proxy/peer_channel.h
+++ b/libraries/proxy/peer_channel.h
@@ -23,8 +23,6 @@
 
     void send(const peer_message& message, const std::vector<kernel::socket_address>& to);
 
-    void close();
-
 private:
     using socket = boost::asio::basic_datagram_socket<udp, io_context::executor_type>;
 
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -72,23 +72,6 @@
     return proxy_event::upstream_removed;
 }
 
-// The value of a parameter in a target's query; the platform's names need no decoding.
-std::string_view query_parameter(std::string_view target, std::string_view name)
-{
-    auto rest = target.substr(std::min(target.size(), target.find('?')));
-    while (!rest.empty()) {
-        rest.remove_prefix(1);
-        const auto end = std::min(rest.size(), rest.find('&'));
-        const auto item = rest.substr(0, end);
-        const auto equals = item.find('=');
-        if (equals != std::string_view::npos && item.substr(0, equals) == name) {
-            return item.substr(equals + 1);
-        }
-        rest.remove_prefix(end);
-    }
-    return {};
-}
-
 } // namespace
 
 proxy_host::proxy_host(io_context& context, proxy_settings settings, control_source& source, kernel::clock_source clock)
--- a/libraries/proxy/request_flow.cpp
+++ b/libraries/proxy/request_flow.cpp
@@ -164,7 +164,7 @@
 request_flow::check request_flow::choose_service(kernel::time_point now)
 {
     service_ = use_.weights.next(*route_);
-    if (!use_.stop.may_take(now, use_.balancer.service_latency(service_))) {
+    if (use_.stop.stopping() && !use_.stop.may_take(now, use_.balancer.service_latency(service_))) {
         return tl::unexpected{refusal{503, "stopping", retry_when_free}};
     }
     if (customer_ != nullptr) {
@@ -303,9 +303,9 @@
     if (!plan_.may_hedge()) {
         return;
     }
-    const auto delay =
-        std::max<kernel::duration>(minimum_hedge_delay, hedge_factor * use_.balancer.service_latency(service_));
-    if (now + delay + use_.balancer.service_latency(service_) > give_up_at_) {
+    const auto usual = use_.balancer.service_latency(service_);
+    const auto delay = std::max<kernel::duration>(minimum_hedge_delay, hedge_factor * usual);
+    if (now + delay + usual > give_up_at_) {
         return;
     }
     hedge_.expires_after(delay);
@@ -517,6 +517,9 @@
 // has answered others meanwhile: it waits in the queue there.
 void request_flow::cancel_attempts(exchange_outcome evidence)
 {
+    if (attempts_.empty()) {
+        return;
+    }
     const auto now = use_.clock();
     const auto usual = route_ == nullptr ? kernel::duration{} : use_.balancer.service_latency(service_);
     auto cancelled = std::move(attempts_);
--- a/libraries/proxy/upstream_connections.cpp
+++ b/libraries/proxy/upstream_connections.cpp
@@ -1,22 +1,11 @@
 #include "libraries/proxy/upstream_connections.h"
 
-#include <cerrno>
-
-#include <sys/socket.h>
-
 namespace wisterialane::proxy {
 namespace {
 
 /// More idle connections of one upstream are closed, because upstreams bound their connections.
 constexpr std::size_t maximum_idle = 8;
 
-bool is_quiet(upstream_connection& connection)
-{
-    char byte = 0;
-    const auto count = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 } // namespace
 
 std::unique_ptr<upstream_connection> upstream_connections::take(const kernel::upstream_name& id, kernel::time_point now)
@@ -29,7 +18,7 @@
     while (!list.empty()) {
         auto connection = std::move(list.back());
         list.pop_back();
-        if (now < connection->usable_until && is_quiet(*connection)) {
+        if (now < connection->usable_until && peek(connection->stream.socket()) == pending_input::none) {
             return connection;
         }
     }
--- a/libraries/proxy/upstream_connections.h
+++ b/libraries/proxy/upstream_connections.h
@@ -39,8 +39,6 @@
     /// Closes the connections that may not be used any more.
     void expire(kernel::time_point now);
 
-    void clear() { idle_.clear(); }
-
 private:
     std::map<kernel::upstream_name, std::vector<std::unique_ptr<upstream_connection>>> idle_;
 };
--- a/libraries/proxy/upstream_exchange.cpp
+++ b/libraries/proxy/upstream_exchange.cpp
@@ -147,8 +147,7 @@
 
 void upstream_exchange::accept_answer()
 {
-    const bool keep =
-        parser_->keep_alive() && write_finished_ && connection_->buffer.size() == 0 && !request_.single_use;
+    const bool keep = parser_->keep_alive() && write_finished_ && connection_->buffer.size() == 0;
     auto message = parser_->release();
     result_.answer.status = message.result_int();
     result_.answer.body = std::move(message.body());
--- a/libraries/proxy/upstream_exchange.h
+++ b/libraries/proxy/upstream_exchange.h
@@ -49,8 +49,6 @@
     std::string_view body;
     boost::beast::http::verb method = boost::beast::http::verb::get;
     std::chrono::milliseconds connect_timeout{500};
-    /// The upstream has stopped taking requests; its connection is not kept.
-    bool single_use = false;
 };
 
 /// Sends one request to one upstream and reads the answer that carries the request's id.
--- a/tests/proxy/host_fixture.h
+++ b/tests/proxy/host_fixture.h
@@ -42,7 +42,7 @@
     io_context& context_;
     std::string id_;
     script behave_;
-    boost::asio::basic_socket_acceptor<tcp, io_context::executor_type> acceptor_;
+    tcp_acceptor acceptor_;
 };
 
 /// A caller that sends raw bytes and collects one answer.
--- a/tests/proxy/test_customer_quota.cpp
+++ b/tests/proxy/test_customer_quota.cpp
@@ -78,20 +78,25 @@
         }
     }
 
+    /// One request at a host, after what the hosts have told by then.
+    void offer(std::size_t index, kernel::time_point now)
+    {
+        deliver(now);
+        if (hosts[index].admit(customer, now)) {
+            ++refused;
+            return;
+        }
+        admitted.push_back(now);
+        tell_if_due(now);
+    }
+
     /// Sends `per_second` requests to random hosts for a time.
     void run(double per_second, seconds length, unsigned seed)
     {
         std::mt19937 random{seed};
         const auto gap = std::chrono::duration_cast<kernel::duration>(std::chrono::duration<double>{1 / per_second});
         for (auto now = test_start; now < test_start + length; now += gap) {
-            deliver(now);
-            const auto index = random() % hosts.size();
-            if (hosts[index].admit(customer, now)) {
-                ++refused;
-                continue;
-            }
-            admitted.push_back(now);
-            tell_if_due(now);
+            offer(random() % hosts.size(), now);
         }
     }
 
@@ -103,14 +108,7 @@
         auto now = test_start;
         while (now < test_start + length) {
             now += std::chrono::duration_cast<kernel::duration>(std::chrono::duration<double>{gap(random)});
-            deliver(now);
-            const auto index = random() % hosts.size();
-            if (hosts[index].admit(customer, now)) {
-                ++refused;
-                continue;
-            }
-            admitted.push_back(now);
-            tell_if_due(now);
+            offer(random() % hosts.size(), now);
         }
     }
 
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -2,8 +2,6 @@
 
 #include "tests/support/loopback.h"
 
-#include <csignal>
-#include <cstdlib>
 #include <fstream>
 #include <stdexcept>
 
@@ -60,9 +58,8 @@
                         {"limits", {{"cpu_share", 0.2}, {"cpu_cores", 1}}},
                         {"bounds", bounds()},
                         {"provider", {{"address", address(store_port)}}}};
-    const char* folder = std::getenv("TMPDIR");
-    settings_path_ = std::string{folder == nullptr ? "/tmp" : folder} + "/wisterialane-soak-" +
-                     std::to_string(::getpid()) + "-" + name_ + ".json";
+    settings_path_ =
+        test_support::temporary_folder() + "/wisterialane-soak-" + std::to_string(::getpid()) + "-" + name_ + ".json";
     std::ofstream{settings_path_} << settings.dump(2);
 }
 
--- a/tests/stand_ins/edge/store_stand_in.cpp
+++ b/tests/stand_ins/edge/store_stand_in.cpp
@@ -1,6 +1,7 @@
 #include "tests/stand_ins/edge/store_stand_in.h"
 
 #include "libraries/encoding/base64.h"
+#include "libraries/encoding/percent_encoding.h"
 #include "libraries/proxy/message_headers.h"
 
 #include <algorithm>
@@ -16,23 +17,10 @@
 /// Rows of one answer, few enough that tests meet answers with more than one page.
 constexpr std::size_t page_rows = 50;
 
-std::string parameter(std::string_view target, const std::string& name)
+// Tests encode no parameter in a way that cannot be decoded.
+std::string parameter(std::string_view target, std::string_view name)
 {
-    const auto start = target.find(name + "=");
-    if (start == std::string_view::npos) {
-        return {};
-    }
-    const auto rest = target.substr(start + name.size() + 1);
-    return std::string{rest.substr(0, rest.find('&'))};
-}
-
-// Keys of tests hold no escapes but the zero byte that a reader adds to ask for the next key.
-std::string decode_key(std::string text)
-{
-    if (const auto zero = text.find("%00"); zero != std::string::npos) {
-        text.replace(zero, 3, 1, '\0');
-    }
-    return text;
+    return encoding::percent_decode(proxy::query_parameter(target, name)).value_or("");
 }
 
 json write_row(const std::string& key, const std::optional<std::string>& value, std::uint64_t revision)
@@ -86,18 +74,8 @@
     wake(table);
 }
 
-std::optional<std::string> store_stand_in::value(const std::string& table, const std::string& key) const
-{
-    const auto found = tables_.find(table);
-    if (found == tables_.end() || found->second.count(key) == 0) {
-        return std::nullopt;
-    }
-    return found->second.at(key).value;
-}
-
 void store_stand_in::handle(const session_pointer& session)
 {
-    ++calls_;
     if (mode_ == store_mode::silent) {
         return;
     }
@@ -126,7 +104,7 @@
     const auto& table = tables_[parameter(target, "table_name")];
     json rows = json::array();
     bool more = false;
-    for (auto item = table.lower_bound(decode_key(parameter(target, "from"))); item != table.end(); ++item) {
+    for (auto item = table.lower_bound(parameter(target, "from")); item != table.end(); ++item) {
         if (!item->second.value) {
             continue;
         }
--- a/tests/stand_ins/edge/store_stand_in.h
+++ b/tests/stand_ins/edge/store_stand_in.h
@@ -33,16 +33,11 @@
     void put(const std::string& table, const std::string& key, const std::string& value);
     void erase(const std::string& table, const std::string& key);
 
-    [[nodiscard]] std::optional<std::string> value(const std::string& table, const std::string& key) const;
-
     void set_mode(store_mode mode) { mode_ = mode; }
 
     /// Drops the history: calls for changes since an earlier revision are refused with 410.
     void forget_history() { horizon_ = revision_; }
 
-    /// Calls that have arrived, refused ones included.
-    [[nodiscard]] std::size_t calls() const { return calls_; }
-
 private:
     struct row {
         /// Nothing once it was dropped.
@@ -72,7 +67,6 @@
     std::list<waiting_call> waiting_;
     std::uint64_t revision_ = 1;
     std::uint64_t horizon_ = 0;
-    std::size_t calls_ = 0;
     store_mode mode_ = store_mode::up;
 };
 
--- a/tests/stand_ins/edge/tcp_relay.cpp
+++ b/tests/stand_ins/edge/tcp_relay.cpp
@@ -1,7 +1,5 @@
 #include "tests/stand_ins/edge/tcp_relay.h"
 
-#include "libraries/proxy/proxy_events.h"
-
 #include <array>
 
 #include <boost/asio/write.hpp>
@@ -55,20 +53,11 @@
 
 kernel::result<void> tcp_relay::listen(const proxy::tcp::endpoint& address)
 {
-    error_code failed;
-    acceptor_.open(address.protocol(), failed);
-    if (!failed) {
-        acceptor_.set_option(proxy::tcp::acceptor::reuse_address{true}, failed);
-        acceptor_.bind(address, failed);
-    }
-    if (!failed) {
-        acceptor_.listen(backlog, failed);
-    }
-    if (failed) {
-        return kernel::fail(proxy::proxy_event::listen_failed, failed.message());
+    auto listening = proxy::listen_at(acceptor_, address, backlog);
+    if (listening) {
+        accept();
     }
-    accept();
-    return {};
+    return listening;
 }
 
 void tcp_relay::set_mode(relay_mode mode)
--- a/tests/stand_ins/edge/tcp_relay.h
+++ b/tests/stand_ins/edge/tcp_relay.h
@@ -46,7 +46,7 @@
 
     proxy::io_context& context_;
     proxy::tcp::endpoint server_;
-    boost::asio::basic_socket_acceptor<proxy::tcp, proxy::io_context::executor_type> acceptor_;
+    proxy::tcp_acceptor acceptor_;
     std::list<std::weak_ptr<connection>> connections_;
     relay_mode mode_ = relay_mode::pass;
     std::chrono::milliseconds delay_{0};
--- a/tests/stand_ins/edge/upstream_stand_in.h
+++ b/tests/stand_ins/edge/upstream_stand_in.h
@@ -50,8 +50,6 @@
 
     [[nodiscard]] const std::string& id() const { return use_.id; }
 
-    [[nodiscard]] std::optional<kernel::time_point> leaving_since() const { return leaving_since_; }
-
 private:
     using session_pointer = std::shared_ptr<proxy::caller_session>;
 
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -21,12 +21,6 @@
 
 using clock = std::chrono::steady_clock;
 
-std::string temporary_folder()
-{
-    const char* folder = std::getenv("TMPDIR");
-    return folder == nullptr ? "/tmp" : folder;
-}
-
 pid_t spawn(const std::string& path, const std::vector<std::string>& arguments, const std::string& log, int output)
 {
     std::vector<char*> argument_pointers{const_cast<char*>(path.c_str())};
@@ -49,6 +43,12 @@
 
 } // namespace
 
+std::string temporary_folder()
+{
+    const char* folder = std::getenv("TMPDIR");
+    return folder == nullptr ? "/tmp" : folder;
+}
+
 child_process::child_process(std::string name, const std::string& program, const std::vector<std::string>& arguments)
     : log_path_{temporary_folder() + "/wisterialane-" + std::to_string(::getpid()) + "-" + std::move(name) + ".log"}
 {
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -9,6 +9,9 @@
 
 namespace wisterialane::test_support {
 
+/// Where tests keep files for their own run.
+[[nodiscard]] std::string temporary_folder();
+
 /// A program of this build, started with its standard output on a pipe and its log in a temporary file. Killed when the
 /// object is destroyed.
 class child_process {
