--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -25,6 +25,8 @@
 /// A service is strained when more than this part of its requests was not served in `strain_window`.
 constexpr double strain_threshold = 0.1;
 constexpr std::chrono::seconds strain_window{3};
+/// An upstream without a request for this time counts as unused in `service_view`.
+constexpr std::chrono::seconds use_window{2};
 
 /// Requests that this host keeps at one upstream: its slots and half as many in its queue.
 std::size_t limit_of(const upstream& item)
@@ -34,18 +36,19 @@
 
 } // namespace
 
+bool load_balancer::is_stuck(const upstream& item, kernel::duration typical, kernel::time_point now)
+{
+    const auto limit = std::max(minimum_stuck_time, stuck_factor * typical);
+    return !item.in_flight.empty() && now - *item.in_flight.begin() > limit;
+}
+
 trust load_balancer::trust_of(const upstream& item, kernel::duration typical, kernel::time_point now)
 {
-    // Its entry may come back, so it is used only if nothing else is left.
-    if (item.missing) {
+    // The entry of a missing one may come back, so it is used only if nothing else is left.
+    if (item.missing || is_stuck(item, typical, now)) {
         return trust::suspected;
     }
-    const auto state = item.health.state(now);
-    const auto stuck = std::max(minimum_stuck_time, stuck_factor * typical);
-    if (!item.in_flight.empty() && now - *item.in_flight.begin() > stuck) {
-        return trust::suspected;
-    }
-    return state;
+    return item.health.state(now);
 }
 
 // Upstreams of about the same speed get their turns alike, so that each is known and works. A strained service needs
@@ -117,6 +120,36 @@
     (served ? counted.served : counted.unserved).add(now);
 }
 
+void load_balancer::record_departure(const kernel::service_name& service, kernel::time_point now)
+{
+    results_[service].left.add(now);
+}
+
+service_view load_balancer::view_of(const kernel::service_name& service, kernel::time_point now) const
+{
+    service_view view;
+    const auto typical = std::max(service_latency(service), kernel::duration{1});
+    for (const auto* item : directory_.of_service(service)) {
+        if (item->leaving) {
+            continue;
+        }
+        const auto state = item->health.state(now);
+        view.trusted += state == trust::trusted ? 1 : 0;
+        view.on_trial += state == trust::trial ? 1 : 0;
+        view.suspected += state == trust::suspected ? 1 : 0;
+        view.missing += item->missing ? 1 : 0;
+        view.stuck += is_stuck(*item, typical, now) ? 1 : 0;
+        view.used += now - item->sent_at < use_window ? 1 : 0;
+    }
+    if (const auto found = results_.find(service); found != results_.end()) {
+        view.served = found->second.served.count(now, strain_window);
+        view.unserved = found->second.unserved.count(now, strain_window);
+        view.left = found->second.left.count(now, strain_window);
+    }
+    view.strained = is_strained(service, now);
+    return view;
+}
+
 bool load_balancer::is_strained(const kernel::service_name& service, kernel::time_point now) const
 {
     const auto found = results_.find(service);
@@ -193,7 +226,7 @@
     return found == candidates.end() ? nullptr : found->item;
 }
 
-kernel::duration load_balancer::service_latency(const kernel::service_name& service)
+kernel::duration load_balancer::service_latency(const kernel::service_name& service) const
 {
     kernel::duration sum{};
     int count = 0;
--- a/libraries/proxy/load_balancer.h
+++ b/libraries/proxy/load_balancer.h
@@ -32,6 +32,24 @@
     std::set<kernel::upstream_name> excluded;
 };
 
+/// How a host sees the upstreams of a service and what became of its own requests lately.
+struct service_view {
+    std::size_t trusted = 0;
+    std::size_t on_trial = 0;
+    std::size_t suspected = 0;
+    /// Their entries are missing from the store and may come back.
+    std::size_t missing = 0;
+    /// An exchange takes several times the usual time.
+    std::size_t stuck = 0;
+    /// Got a request of this host in the last two seconds.
+    std::size_t used = 0;
+    std::uint64_t served = 0;
+    std::uint64_t unserved = 0;
+    /// The callers left before the answer.
+    std::uint64_t left = 0;
+    bool strained = false;
+};
+
 /// Chooses upstreams by trust, load, latency and data centre.
 class load_balancer {
 public:
@@ -45,8 +63,13 @@
     /// A caller's request to the service has ended, with a success or without.
     void record_result(const kernel::service_name& service, bool served, kernel::time_point now);
 
+    /// A caller has closed its connection before the answer.
+    void record_departure(const kernel::service_name& service, kernel::time_point now);
+
+    [[nodiscard]] service_view view_of(const kernel::service_name& service, kernel::time_point now) const;
+
     /// Mean time of an exchange with the service's upstreams; zero before the first.
-    [[nodiscard]] kernel::duration service_latency(const kernel::service_name& service);
+    [[nodiscard]] kernel::duration service_latency(const kernel::service_name& service) const;
 
 private:
     struct candidate {
@@ -67,6 +90,7 @@
     struct result_counts {
         window_counter served;
         window_counter unserved;
+        window_counter left;
     };
 
     [[nodiscard]] bool is_strained(const kernel::service_name& service, kernel::time_point now) const;
@@ -77,6 +101,7 @@
     [[nodiscard]] static upstream* least_suspected(const std::vector<candidate>& candidates, kernel::time_point now);
     [[nodiscard]] double cost_of(const upstream& item, kernel::duration typical, bool strained,
                                  kernel::time_point now) const;
+    [[nodiscard]] static bool is_stuck(const upstream& item, kernel::duration typical, kernel::time_point now);
     [[nodiscard]] static trust trust_of(const upstream& item, kernel::duration typical, kernel::time_point now);
     [[nodiscard]] static upstream* cheapest(const std::vector<candidate>& candidates);
     [[nodiscard]] upstream* cheapest_here(const std::vector<candidate>& candidates) const;
--- a/libraries/proxy/proxy_events.cpp
+++ b/libraries/proxy/proxy_events.cpp
@@ -35,6 +35,7 @@
     std::pair{proxy_event::upstream_entry_unreadable, std::string_view{"upstream_entry_unreadable"}},
     std::pair{proxy_event::upstream_suspected, std::string_view{"upstream_suspected"}},
     std::pair{proxy_event::upstream_trusted, std::string_view{"upstream_trusted"}},
+    std::pair{proxy_event::service_unserved, std::string_view{"service_unserved"}},
     std::pair{proxy_event::request_failed, std::string_view{"request_failed"}},
     std::pair{proxy_event::request_refused, std::string_view{"request_refused"}},
     std::pair{proxy_event::request_served, std::string_view{"request_served"}},
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -43,6 +43,9 @@
 constexpr milliseconds reader_settling_time{1200};
 /// Hosts that are assumed to take requests before the others are heard.
 constexpr std::size_t assumed_hosts = 8;
+constexpr milliseconds service_report_pause{1000};
+/// A service of which a greater part goes unserved is reported.
+constexpr double reported_unserved_part = 0.05;
 constexpr milliseconds stop_check{50};
 constexpr std::size_t instance_digits = 16;
 
@@ -275,7 +278,15 @@
     }
     for (const auto& item : received->evidence) {
         if (auto* known = environment_.upstreams.find(item.upstream)) {
+            const bool was_trusted = known->health.state(now) == trust::trusted;
             known->health.record(item.outcome, now);
+            if (was_trusted && known->health.state(now) != trust::trusted) {
+                environment_.log.write(now, line_urgency::important, proxy_event::upstream_suspected,
+                                       {{"upstream", item.upstream.value()},
+                                        {"service", known->record.service.value()},
+                                        {"outcome", std::string{to_name(item.outcome)}},
+                                        {"from", received->sender.host.value()}});
+            }
         }
         if (item.fingerprint != 0) {
             environment_.quarantine.record({item.fingerprint, item.upstream}, now);
@@ -331,10 +342,39 @@
     for (auto& [service, line] : environment_.lines) {
         line.serve();
     }
+    report_services(now);
     environment_.log.flush(now);
     after(tick_pause_, tick_time, &proxy_host::tick);
 }
 
+void proxy_host::report_services(kernel::time_point now)
+{
+    if (now - services_reported_at_ < service_report_pause) {
+        return;
+    }
+    services_reported_at_ = now;
+    for (const auto& [service, line] : environment_.lines) {
+        const auto view = environment_.balancer.view_of(service, now);
+        const auto ended = static_cast<double>(view.served + view.unserved);
+        if (static_cast<double>(view.unserved) <= reported_unserved_part * ended) {
+            continue;
+        }
+        environment_.log.write(now, line_urgency::important, proxy_event::service_unserved,
+                               {{"service", service.value()},
+                                {"served", std::to_string(view.served)},
+                                {"unserved", std::to_string(view.unserved)},
+                                {"left", std::to_string(view.left)},
+                                {"waiting", std::to_string(line.size())},
+                                {"strained", view.strained ? "yes" : "no"},
+                                {"trusted", std::to_string(view.trusted)},
+                                {"trial", std::to_string(view.on_trial)},
+                                {"suspected", std::to_string(view.suspected)},
+                                {"missing", std::to_string(view.missing)},
+                                {"stuck", std::to_string(view.stuck)},
+                                {"used", std::to_string(view.used)}});
+    }
+}
+
 void proxy_host::update_readiness(kernel::time_point now)
 {
     const auto age = environment_.confirmed.age(now);
--- a/libraries/proxy/proxy_host.h
+++ b/libraries/proxy/proxy_host.h
@@ -81,6 +81,7 @@
     void register_self();
     void read_hosts();
     void tick();
+    void report_services(kernel::time_point now);
     void update_readiness(kernel::time_point now);
     void update_fleet_size(kernel::time_point now);
     void update_expected_demand(kernel::time_point now);
@@ -114,6 +115,7 @@
     timer stop_pause_;
     kernel::instance_id instance_;
     kernel::time_point started_at_{};
+    kernel::time_point services_reported_at_{};
     kernel::time_point state_sent_at_{};
     bool ready_ = false;
     bool gave_up_ = false;
--- a/libraries/proxy/request_flow.cpp
+++ b/libraries/proxy/request_flow.cpp
@@ -289,6 +289,7 @@
     attempt next{chosen.record.id,
                  std::make_shared<upstream_exchange>(use_.context, use_.connections, use_.names, use_.clock), now};
     chosen.in_flight.insert(now);
+    chosen.sent_at = now;
     plan_.record_send();
     attempts_.push_back(next);
     arm_hedge(now);
@@ -602,8 +603,13 @@
     deadline_.cancel();
     hedge_.cancel();
     const auto now = use_.clock();
-    if (!service_.value().empty() && outcome != caller_left) {
-        use_.balancer.record_result(service_, outcome == served, now);
+    if (!service_.value().empty()) {
+        if (outcome == caller_left) {
+            use_.balancer.record_departure(service_, now);
+        }
+        else {
+            use_.balancer.record_result(service_, outcome == served, now);
+        }
     }
     use_.metrics.record_request(customer_name(), outcome, now - arrived_);
 }
--- a/libraries/proxy/upstream_directory.h
+++ b/libraries/proxy/upstream_directory.h
@@ -21,6 +21,8 @@
     std::multiset<kernel::time_point> in_flight;
     /// Smoothed time from the sending of a request to its answer; zero before the first.
     kernel::duration latency{};
+    /// When this host last sent it a request.
+    kernel::time_point sent_at{};
     /// When it last answered this host.
     kernel::time_point answered_at{};
     /// It has shed a request; others go first until then.
--- a/tests/proxy/test_load_balancer.cpp
+++ b/tests/proxy/test_load_balancer.cpp
@@ -108,6 +108,27 @@
     CHECK(directory.of_service(kernel::service_name{"archive"}).empty());
 }
 
+TEST_CASE_FIXTURE(balancer_fixture, "load_balancer: view of a service: counts upstreams by state and results of 3 s")
+{
+    add(5);
+    item("here0").health.record(exchange_outcome::broken, now);
+    item("here1").in_flight.insert(now - seconds{5});
+    item("here2").sent_at = now - seconds{1};
+    directory.mark_leaving(kernel::upstream_name{"here4"});
+    balancer.record_result(request.service, true, now);
+    balancer.record_result(request.service, false, now);
+    balancer.record_departure(request.service, now);
+    const auto view = balancer.view_of(request.service, now);
+    CHECK(view.trusted == 3);
+    CHECK(view.suspected == 1);
+    CHECK(view.stuck == 1);
+    CHECK(view.used == 1);
+    CHECK(view.served == 1);
+    CHECK(view.unserved == 1);
+    CHECK(view.left == 1);
+    CHECK(view.strained);
+}
+
 // Guards against slow upstreams that stay without work while callers go unserved (seen on skm-gateway-grown,
 // trouble-3).
 TEST_CASE_FIXTURE(balancer_fixture, "load_balancer: strained service: every sound upstream gets requests in turn")
