Proxy: Judge whether a service is strained by the results of all hosts

Cause: a promise that holds over all callers was judged by each host on its own, at the very bound of the promise, and callers that left were not counted.

--- a/libraries/proxy/flow_environment.h
+++ b/libraries/proxy/flow_environment.h
@@ -40,7 +40,7 @@
                      upstream_directory::listener notify, kernel::data_centre_name here, std::uint64_t seed,
                      kernel::decision_log::options log_options)
         : context{use_context}, clock{std::move(use_clock)}, names{std::move(use_names)}, upstreams{std::move(notify)},
-          balancer{upstreams, std::move(here)}, weights{seed}, log{log_options}
+          balancer{upstreams, results, std::move(here)}, weights{seed}, log{log_options}
     {}
 
     io_context& context;
@@ -50,6 +50,7 @@
     freshness confirmed;
     authority_bounds bounds;
     upstream_directory upstreams;
+    service_results results;
     load_balancer balancer;
     weighted_selector weights;
     upstream_connections connections;
--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -10,26 +10,29 @@
 
 /// Latency that is assumed before the first answer of a service.
 constexpr kernel::duration assumed_latency = std::chrono::milliseconds{200};
-/// An exchange that takes this many times the usual time says that its upstream hangs.
+/// An exchange that takes this many times the usual time says that its upstream
+/// hangs.
 constexpr int stuck_factor = 4;
 constexpr kernel::duration minimum_stuck_time = std::chrono::milliseconds{600};
 /// A busy upstream counts as this much more loaded.
 constexpr double busy_penalty = 4;
-/// Weight of another data centre in the cost: its upstreams are used when those here have no free slot.
+/// Weight of another data centre in the cost: its upstreams are used when those
+/// here have no free slot.
 constexpr double remote_factor = 1.5;
 constexpr double cold_factor = 2;
-/// At most this part of a service's upstreams is kept without work for longer than `minimum_ban`: the rest of the
-/// service has to carry their load, and many failures at once say more about the evidence than about the upstreams.
+/// At most this part of a service's upstreams is kept without work for longer
+/// than `minimum_ban`: the rest of the service has to carry their load, and
+/// many failures at once say more about the evidence than about the upstreams.
 constexpr double maximum_suspected_part = 0.45;
-/// The same while callers go unserved: then every upstream that may be sound has to work.
+/// The same while callers go unserved: then every upstream that may be sound
+/// has to work.
 constexpr double strained_suspected_part = 0.3;
-/// A service is strained when more than this part of its requests was not served in `strain_window`.
-constexpr double strain_threshold = 0.1;
-constexpr std::chrono::seconds strain_window{3};
-/// An upstream without a request for this time counts as unused in `service_view`.
+/// An upstream without a request for this time counts as unused in
+/// `service_view`.
 constexpr std::chrono::seconds use_window{2};
 
-/// Requests that this host keeps at one upstream: its slots and half as many in its queue.
+/// Requests that this host keeps at one upstream: its slots and half as many in
+/// its queue.
 std::size_t limit_of(const upstream& item)
 {
     return item.record.slots + (item.record.slots + 1) / 2;
@@ -45,15 +48,16 @@
 
 trust load_balancer::trust_of(const upstream& item, kernel::duration typical, kernel::time_point now)
 {
-    // The entry of a missing one may come back, so it is used only if nothing else is left.
+    // The entry of a missing one may come back, so it is used only if nothing
+    // else is left.
     if (item.missing || is_stuck(item, typical, now)) {
         return trust::suspected;
     }
     return item.health.state(now);
 }
 
-// Upstreams of about the same speed get their turns alike, so that each is known and works. A strained service needs
-// also its slow ones.
+// Upstreams of about the same speed get their turns alike, so that each is
+// known and works. A strained service needs also its slow ones.
 double load_balancer::cost_of(const upstream& item, kernel::duration typical, bool strained,
                               kernel::time_point now) const
 {
@@ -73,7 +77,8 @@
     return cost;
 }
 
-// Of equals the one that has waited longest for a request, so that each gets its turn.
+// Of equals the one that has waited longest for a request, so that each gets
+// its turn.
 upstream* load_balancer::cheapest(const std::vector<candidate>& candidates)
 {
     const auto found = std::min_element(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) {
@@ -82,7 +87,8 @@
     return found == candidates.end() ? nullptr : found->item;
 }
 
-// Traffic between data centres costs, so an upstream here goes first while one of its slots is free.
+// Traffic between data centres costs, so an upstream here goes first while one
+// of its slots is free.
 upstream* load_balancer::cheapest_here(const std::vector<candidate>& candidates) const
 {
     std::vector<candidate> local;
@@ -92,8 +98,8 @@
     return cheapest(local);
 }
 
-// Suspected upstreams that get a trial before their time, because too many of the service are suspected. Those that
-// have been suspected longest come first.
+// Suspected upstreams that get a trial before their time, because too many of
+// the service are suspected. Those that have been suspected longest come first.
 std::set<kernel::upstream_name> load_balancer::released_early(const std::vector<upstream*>& items,
                                                               double suspected_part, kernel::time_point now)
 {
@@ -117,17 +123,6 @@
     return released;
 }
 
-void load_balancer::record_result(const kernel::service_name& service, bool served, kernel::time_point now)
-{
-    auto& counted = results_[service];
-    (served ? counted.served : counted.unserved).add(now);
-}
-
-void load_balancer::record_departure(const kernel::service_name& service, kernel::time_point now)
-{
-    results_[service].left.add(now);
-}
-
 service_view load_balancer::view_of(const kernel::service_name& service, kernel::time_point now) const
 {
     service_view view;
@@ -144,26 +139,11 @@
         view.stuck += is_stuck(*item, typical, now) ? 1 : 0;
         view.used += now - item->sent_at < use_window ? 1 : 0;
     }
-    if (const auto found = results_.find(service); found != results_.end()) {
-        view.served = found->second.served.count(now, strain_window);
-        view.unserved = found->second.unserved.count(now, strain_window);
-        view.left = found->second.left.count(now, strain_window);
-    }
-    view.strained = is_strained(service, now);
+    view.results = results_.here(service, now);
+    view.strained = results_.is_strained(service, now);
     return view;
 }
 
-bool load_balancer::is_strained(const kernel::service_name& service, kernel::time_point now) const
-{
-    const auto found = results_.find(service);
-    if (found == results_.end()) {
-        return false;
-    }
-    const auto served = static_cast<double>(found->second.served.count(now, strain_window));
-    const auto unserved = static_cast<double>(found->second.unserved.count(now, strain_window));
-    return unserved > strain_threshold * (served + unserved);
-}
-
 load_balancer::shortlist load_balancer::sort(const std::vector<upstream*>& items, kernel::duration typical,
                                              bool strained, kernel::time_point now) const
 {
@@ -192,13 +172,13 @@
     auto items = directory_.of_service(request.service);
     std::erase_if(items, [](const auto* item) { return item->leaving; });
     const auto typical = std::max(service_latency(request.service), kernel::duration{1});
-    auto list = sort(items, typical, is_strained(request.service, now), now);
+    auto list = sort(items, typical, results_.is_strained(request.service, now), now);
     const auto is_excluded = [&request](const auto& entry) { return request.excluded.contains(entry.item->record.id); };
     std::erase_if(list.trusted, is_excluded);
     std::erase_if(list.on_trial, is_excluded);
     std::erase_if(list.suspected, is_excluded);
-    // A repeatable request costs its caller little when the trial fails. Every second one leaves the others their
-    // turns.
+    // A repeatable request costs its caller little when the trial fails. Every
+    // second one leaves the others their turns.
     const bool takes_trial = request.repeatable && request.excluded.empty() && ++turn_ % 2 == 0;
     if (takes_trial && !list.on_trial.empty()) {
         return cheapest(list.on_trial);
--- a/libraries/proxy/load_balancer.h
+++ b/libraries/proxy/load_balancer.h
@@ -2,12 +2,11 @@
 
 #include "kernel/clock.h"
 #include "kernel/identifiers.h"
+#include "libraries/proxy/service_results.h"
 #include "libraries/proxy/traffic_configuration.h"
 #include "libraries/proxy/upstream_directory.h"
-#include "libraries/proxy/window_counter.h"
 
 #include <cstdint>
-#include <map>
 #include <set>
 #include <vector>
 
@@ -32,7 +31,7 @@
     std::set<kernel::upstream_name> excluded;
 };
 
-/// How a host sees the upstreams of a service and what became of its own requests lately.
+/// How a host sees the upstreams of a service, and what became of its own requests.
 struct service_view {
     std::size_t trusted = 0;
     std::size_t on_trial = 0;
@@ -43,29 +42,20 @@
     std::size_t stuck = 0;
     /// Got a request of this host in the last two seconds.
     std::size_t used = 0;
-    std::uint64_t served = 0;
-    std::uint64_t unserved = 0;
-    /// The callers left before the answer.
-    std::uint64_t left = 0;
+    result_counts results;
     bool strained = false;
 };
 
 /// Chooses upstreams by trust, load, latency and data centre.
 class load_balancer {
 public:
-    load_balancer(upstream_directory& directory, kernel::data_centre_name here)
-        : directory_{directory}, here_{std::move(here)}
+    load_balancer(const upstream_directory& directory, const service_results& results, kernel::data_centre_name here)
+        : directory_{directory}, results_{results}, here_{std::move(here)}
     {}
 
     [[nodiscard]] tl::expected<upstream*, placement_refusal> choose(const placement_request& request,
                                                                     kernel::time_point now);
 
-    /// A caller's request to the service has ended, with a success or without.
-    void record_result(const kernel::service_name& service, bool served, kernel::time_point now);
-
-    /// A caller has closed its connection before the answer.
-    void record_departure(const kernel::service_name& service, kernel::time_point now);
-
     [[nodiscard]] service_view view_of(const kernel::service_name& service, kernel::time_point now) const;
 
     /// Mean time of an exchange with the service's upstreams; zero before the first.
@@ -86,14 +76,6 @@
         bool some_are_full = false;
     };
 
-    /// Results of a service's requests at this host.
-    struct result_counts {
-        window_counter served;
-        window_counter unserved;
-        window_counter left;
-    };
-
-    [[nodiscard]] bool is_strained(const kernel::service_name& service, kernel::time_point now) const;
     [[nodiscard]] shortlist sort(const std::vector<upstream*>& items, kernel::duration typical, bool strained,
                                  kernel::time_point now) const;
     [[nodiscard]] static std::set<kernel::upstream_name> released_early(const std::vector<upstream*>& items,
@@ -106,9 +88,9 @@
     [[nodiscard]] static upstream* cheapest(const std::vector<candidate>& candidates);
     [[nodiscard]] upstream* cheapest_here(const std::vector<candidate>& candidates) const;
 
-    upstream_directory& directory_;
+    const upstream_directory& directory_;
+    const service_results& results_;
     kernel::data_centre_name here_;
-    std::map<kernel::service_name, result_counts> results_;
     /// Counts the repeatable requests.
     std::uint64_t turn_ = 0;
 };
--- a/libraries/proxy/peer_message.cpp
+++ b/libraries/proxy/peer_message.cpp
@@ -63,6 +63,24 @@
     return relay;
 }
 
+nlohmann::json write_results(const service_counts& results)
+{
+    nlohmann::json document = nlohmann::json::object();
+    for (const auto& [service, counts] : results) {
+        document[service.value()] = {counts.served, counts.unserved};
+    }
+    return document;
+}
+
+service_counts read_results(const nlohmann::json& from)
+{
+    service_counts results;
+    for (const auto& [service, counts] : from.items()) {
+        results[kernel::service_name{service}] = {counts.at(0).get<std::uint64_t>(), counts.at(1).get<std::uint64_t>()};
+    }
+    return results;
+}
+
 peer_message read_message(const nlohmann::json& document)
 {
     peer_message message;
@@ -78,6 +96,9 @@
     if (const auto relay = document.find("relay"); relay != document.end()) {
         message.relay = read_relay(*relay);
     }
+    if (const auto results = document.find("results"); results != document.end()) {
+        message.results = read_results(*results);
+    }
     for (const auto& [customer, count] : document.at("admitted").items()) {
         message.state.admitted[kernel::customer_name{customer}] = count.get<std::uint64_t>();
     }
@@ -116,6 +137,9 @@
     if (message.relay) {
         document["relay"] = write_relay(*message.relay);
     }
+    if (message.results) {
+        document["results"] = write_results(*message.results);
+    }
     std::string bytes;
     nlohmann::json::to_cbor(document, bytes);
     return bytes;
--- a/libraries/proxy/peer_message.h
+++ b/libraries/proxy/peer_message.h
@@ -2,6 +2,7 @@
 
 #include "kernel/failure.h"
 #include "libraries/proxy/peer_directory.h"
+#include "libraries/proxy/service_results.h"
 #include "libraries/proxy/store_relay.h"
 #include "libraries/proxy/upstream_health.h"
 
@@ -28,6 +29,8 @@
     std::vector<shared_evidence> evidence;
     /// From the reader of a data centre.
     std::optional<store_relay> relay;
+    /// What became of the sender's requests; empty in messages that say nothing about it.
+    std::optional<service_counts> results;
 };
 
 /// The message as CBOR.
--- a/tests/proxy/proxy_fixture.h
+++ b/tests/proxy/proxy_fixture.h
@@ -32,7 +32,8 @@
     kernel::time_point now = test_start;
     std::vector<directory_change> changes;
     upstream_directory directory{[this](const auto&, auto change) { changes.push_back(change); }};
-    load_balancer balancer{directory, kernel::data_centre_name{"here"}};
+    service_results results;
+    load_balancer balancer{directory, results, kernel::data_centre_name{"here"}};
     placement_request request{kernel::service_name{"certificates"}, false, {}};
 
     void add(int count, const std::string& data_centre = "here")
--- a/tests/proxy/service_emulation.cpp
+++ b/tests/proxy/service_emulation.cpp
@@ -119,14 +119,21 @@
 
 void service_emulation::end_request(const emulated_request& request, bool served)
 {
-    request.host->balancer.record_result(service, served, now_);
+    request.host->results.record(service, served ? request_result::served : request_result::unserved, now_);
     ended_.push_back({now_, served});
 }
 
-// Hosts judge a service by their own results only.
 void service_emulation::tell_results()
 {
     at(now_ + telling_pause, [this] { tell_results(); });
+    for (std::size_t from = 0; from < hosts_.size(); ++from) {
+        const auto report = hosts_[from].results.report(now_);
+        for (std::size_t to = 0; to < hosts_.size(); ++to) {
+            if (to != from) {
+                hosts_[to].results.hear(kernel::host_name{std::to_string(from)}, report, now_);
+            }
+        }
+    }
 }
 
 void service_emulation::observe()
--- a/tests/proxy/service_emulation.h
+++ b/tests/proxy/service_emulation.h
@@ -69,7 +69,8 @@
     struct emulated_host {
         kernel::data_centre_name data_centre;
         upstream_directory directory{[](const auto&, auto) {}};
-        load_balancer balancer{directory, data_centre};
+        service_results results;
+        load_balancer balancer{directory, results, data_centre};
 
         explicit emulated_host(kernel::data_centre_name where) : data_centre{std::move(where)} {}
     };
--- a/tests/proxy/test_load_balancer.cpp
+++ b/tests/proxy/test_load_balancer.cpp
@@ -15,7 +15,8 @@
 {
     add(8);
     for (int count = 0; count < 10; ++count) {
-        balancer.record_result(request.service, count > 1, now + seconds{1});
+        results.record(request.service, count > 1 ? request_result::served : request_result::unserved,
+                       now + seconds{1});
     }
     for (const auto* id : {"here0", "here1", "here2", "here3"}) {
         for (int failure = 0; failure < 4; ++failure) {
@@ -139,17 +140,15 @@
     item("here1").in_flight.insert(now - seconds{5});
     item("here2").sent_at = now - seconds{1};
     directory.mark_leaving(kernel::upstream_name{"here4"});
-    balancer.record_result(request.service, true, now);
-    balancer.record_result(request.service, false, now);
-    balancer.record_departure(request.service, now);
+    results.record(request.service, request_result::served, now);
+    results.record(request.service, request_result::unserved, now);
+    results.record(request.service, request_result::left, now);
     const auto view = balancer.view_of(request.service, now);
     CHECK(view.trusted == 3);
     CHECK(view.suspected == 1);
     CHECK(view.stuck == 1);
     CHECK(view.used == 1);
-    CHECK(view.served == 1);
-    CHECK(view.unserved == 1);
-    CHECK(view.left == 1);
+    CHECK(view.results == result_counts{1, 2});
     CHECK(view.strained);
 }
 
@@ -162,7 +161,7 @@
         item("here" + std::to_string(index)).latency = milliseconds{100 + 20 * index};
     }
     for (int result = 0; result < 20; ++result) {
-        balancer.record_result(request.service, result % 2 == 0, now);
+        results.record(request.service, result % 2 == 0 ? request_result::served : request_result::unserved, now);
     }
     std::set<std::string> used;
     for (int count = 0; count < 30; ++count) {
--- a/tests/proxy/test_platform_formats.cpp
+++ b/tests/proxy/test_platform_formats.cpp
@@ -116,6 +116,7 @@
                                 store_revision{2},
                                 {make_upstream("a", "z", 3)},
                                 {kernel::upstream_name{"gone"}}};
+    message.results = service_counts{{kernel::service_name{"archive"}, {5, 2}}};
     const auto decoded = decode_peer_message(encode(message));
     REQUIRE(decoded);
     CHECK(decoded->sender.peer_address == message.sender.peer_address);
@@ -127,6 +128,7 @@
     REQUIRE(decoded->relay);
     CHECK(decoded->relay->present[0].slots == 3);
     CHECK(decoded->relay->removed[0] == kernel::upstream_name{"gone"});
+    CHECK(decoded->results == message.results);
 }
 
 TEST_CASE("decode_peer_message: any other bytes: fail")
--- /dev/null
+++ b/tests/proxy/test_service_results.cpp
@@ -0,0 +1,64 @@
+#include "libraries/proxy/service_results.h"
+#include "tests/proxy/proxy_fixture.h"
+
+#include <doctest/doctest.h>
+
+namespace wisterialane::proxy {
+namespace {
+
+const kernel::service_name archive{"archive"};
+const kernel::host_name other{"other"};
+
+} // namespace
+
+// Guards against sound upstreams that a host keeps without work because its own callers are served.
+TEST_CASE("service_results: callers of another host unserved: the service is strained here too")
+{
+    service_results results;
+    for (int count = 0; count < 20; ++count) {
+        results.record(archive, request_result::served, test_start);
+    }
+    CHECK_FALSE(results.is_strained(archive, test_start));
+    results.hear(other, {{archive, {16, 4}}}, test_start);
+    CHECK(results.is_strained(archive, test_start));
+}
+
+TEST_CASE("service_results: later report of a host: replaces the earlier one")
+{
+    service_results results;
+    results.hear(other, {{archive, {0, 10}}}, test_start);
+    results.hear(other, {{archive, {10, 0}}}, test_start);
+    CHECK_FALSE(results.is_strained(archive, test_start));
+}
+
+// Guards against a service that stays strained by the last report of a host that is gone.
+TEST_CASE("service_results: host silent: its report is forgotten")
+{
+    service_results results;
+    results.hear(other, {{archive, {0, 10}}}, test_start);
+    results.expire(test_start + seconds{2});
+    CHECK(results.is_strained(archive, test_start + seconds{2}));
+    results.expire(test_start + seconds{3});
+    CHECK_FALSE(results.is_strained(archive, test_start + seconds{3}));
+}
+
+TEST_CASE("service_results: caller left before its answer: went unserved")
+{
+    service_results results;
+    results.record(archive, request_result::left, test_start);
+    CHECK(results.here(archive, test_start) == result_counts{0, 1});
+}
+
+TEST_CASE("service_results: many services: reports those with most requests unserved")
+{
+    service_results results;
+    for (int service = 0; service < 100; ++service) {
+        const kernel::service_name name{"service-" + std::to_string(service)};
+        results.record(name, service == 77 ? request_result::unserved : request_result::served, test_start);
+    }
+    const auto report = results.report(test_start);
+    CHECK(report.size() == 32);
+    CHECK(report.contains(kernel::service_name{"service-77"}));
+}
+
+} // namespace wisterialane::proxy
