--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -10,29 +10,23 @@
 
 /// Latency that is assumed before the first answer of a service.
 constexpr kernel::duration assumed_latency = std::chrono::milliseconds{200};
-/// An exchange that takes this many times the usual time says that its upstream
-/// hangs.
+/// An exchange that takes this many times the usual time says that its upstream hangs.
 constexpr int stuck_factor = 4;
 constexpr kernel::duration minimum_stuck_time = std::chrono::milliseconds{600};
 /// A busy upstream counts as this much more loaded.
 constexpr double busy_penalty = 4;
-/// Weight of another data centre in the cost: its upstreams are used when those
-/// here have no free slot.
+/// Weight of another data centre in the cost: its upstreams are used when those here have no free slot.
 constexpr double remote_factor = 1.5;
 constexpr double cold_factor = 2;
-/// At most this part of a service's upstreams is kept without work for longer
-/// than `minimum_ban`: the rest of the service has to carry their load, and
-/// many failures at once say more about the evidence than about the upstreams.
+/// At most this part of a service's upstreams is kept without work for longer than `minimum_ban`: the rest of the
+/// service has to carry their load, and many failures at once say more about the evidence than about the upstreams.
 constexpr double maximum_suspected_part = 0.45;
-/// The same while callers go unserved: then every upstream that may be sound
-/// has to work.
+/// The same while callers go unserved: then every upstream that may be sound has to work.
 constexpr double strained_suspected_part = 0.3;
-/// An upstream without a request for this time counts as unused in
-/// `service_view`.
+/// An upstream without a request for this time counts as unused in `service_view`.
 constexpr std::chrono::seconds use_window{2};
 
-/// Requests that this host keeps at one upstream: its slots and half as many in
-/// its queue.
+/// Requests that this host keeps at one upstream: its slots and half as many in its queue.
 std::size_t limit_of(const upstream& item)
 {
     return item.record.slots + (item.record.slots + 1) / 2;
@@ -48,16 +42,15 @@
 
 trust load_balancer::trust_of(const upstream& item, kernel::duration typical, kernel::time_point now)
 {
-    // The entry of a missing one may come back, so it is used only if nothing
-    // else is left.
+    // The entry of a missing one may come back, so it is used only if nothing else is left.
     if (item.missing || is_stuck(item, typical, now)) {
         return trust::suspected;
     }
     return item.health.state(now);
 }
 
-// Upstreams of about the same speed get their turns alike, so that each is
-// known and works. A strained service needs also its slow ones.
+// Upstreams of about the same speed get their turns alike, so that each is known and works. A strained service needs
+// also its slow ones.
 double load_balancer::cost_of(const upstream& item, kernel::duration typical, bool strained,
                               kernel::time_point now) const
 {
@@ -77,8 +70,7 @@
     return cost;
 }
 
-// Of equals the one that has waited longest for a request, so that each gets
-// its turn.
+// Of equals the one that has waited longest for a request, so that each gets its turn.
 upstream* load_balancer::cheapest(const std::vector<candidate>& candidates)
 {
     const auto found = std::min_element(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) {
@@ -87,8 +79,7 @@
     return found == candidates.end() ? nullptr : found->item;
 }
 
-// Traffic between data centres costs, so an upstream here goes first while one
-// of its slots is free.
+// Traffic between data centres costs, so an upstream here goes first while one of its slots is free.
 upstream* load_balancer::cheapest_here(const std::vector<candidate>& candidates) const
 {
     std::vector<candidate> local;
@@ -98,8 +89,8 @@
     return cheapest(local);
 }
 
-// Suspected upstreams that get a trial before their time, because too many of
-// the service are suspected. Those that have been suspected longest come first.
+// Suspected upstreams that get a trial before their time, because too many of the service are suspected. Those that
+// have been suspected longest come first.
 std::set<kernel::upstream_name> load_balancer::released_early(const std::vector<upstream*>& items,
                                                               double suspected_part, kernel::time_point now)
 {
@@ -177,8 +168,8 @@
     std::erase_if(list.trusted, is_excluded);
     std::erase_if(list.on_trial, is_excluded);
     std::erase_if(list.suspected, is_excluded);
-    // A repeatable request costs its caller little when the trial fails. Every
-    // second one leaves the others their turns.
+    // A repeatable request costs its caller little when the trial fails. Every second one leaves the others their
+    // turns.
     const bool takes_trial = request.repeatable && request.excluded.empty() && ++turn_ % 2 == 0;
     if (takes_trial && !list.on_trial.empty()) {
         return cheapest(list.on_trial);
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -17,12 +17,10 @@
 constexpr milliseconds tick_time{250};
 constexpr milliseconds state_pause{500};
 constexpr milliseconds standby_state_pause{1000};
-/// Admissions of a customer near its limit are reported at once, but not more
-/// often.
+/// Admissions of a customer near its limit are reported at once, but not more often.
 constexpr milliseconds urgent_pause{40};
 constexpr milliseconds hosts_first_pause{700};
-/// Hosts announce themselves to those that they read from the store, so the
-/// list is read again only as a safeguard.
+/// Hosts announce themselves to those that they read from the store, so the list is read again only as a safeguard.
 constexpr milliseconds hosts_pause{120000};
 constexpr milliseconds registration_retry{500};
 /// A host whose configuration was confirmed longer ago sends callers elsewhere.
@@ -30,22 +28,18 @@
 constexpr milliseconds address_keep{3000};
 /// A process that has just started has not yet heard all others.
 constexpr milliseconds settling_time{2000};
-/// Processor time that a request takes from its arrival to its answer, retries
-/// included; see docs/CAPACITY.md.
+/// Processor time that a request takes from its arrival to its answer, retries included; see docs/CAPACITY.md.
 constexpr std::chrono::duration<double> processor_time_of_request{0.0005};
 constexpr std::chrono::seconds load_window{5};
-/// A rise of the load is seen in this time, so that more hosts take callers
-/// soon.
+/// A rise of the load is seen in this time, so that more hosts take callers soon.
 constexpr std::chrono::seconds rise_window{2};
-/// Callers come within this time after the start, and keep the addresses that
-/// they get first for seconds.
+/// Callers come within this time after the start, and keep the addresses that they get first for seconds.
 constexpr std::chrono::seconds forecast_time{20};
-/// Part of the upstreams' slots that is taken to be busy before requests have
-/// been counted, and for how long a request is taken to hold its slot.
+/// Part of the upstreams' slots that is taken to be busy before requests have been counted, and for how long a request
+/// is taken to hold its slot.
 constexpr double forecast_utilization = 0.25;
 constexpr std::chrono::duration<double> forecast_holding_time{0.3};
-/// By then the hosts of a data centre that started together have told one
-/// another.
+/// By then the hosts of a data centre that started together have told one another.
 constexpr milliseconds reader_settling_time{1200};
 /// Hosts that are assumed to take requests before the others are heard.
 constexpr std::size_t assumed_hosts = 8;
@@ -403,8 +397,7 @@
     send_state(offered_ ? peers_.everyone() : peers_.neighbours());
 }
 
-// Right after the start no other host is heard, and each would take itself for
-// the first of its data centre.
+// Right after the start no other host is heard, and each would take itself for the first of its data centre.
 bool proxy_host::is_settling(kernel::time_point now) const
 {
     return now - started_at_ < settling_time;
@@ -451,8 +444,8 @@
         slack_part({peers_.is_offered(now), hosts, all - std::min(all, hosts), now - started_at_}));
 }
 
-// A host that begins to take callers tells everyone, because those of other
-// data centres do not hear the hosts that stand by.
+// A host that begins to take callers tells everyone, because those of other data centres do not hear the hosts that
+// stand by.
 void proxy_host::send_state_if_due(kernel::time_point now)
 {
     const bool offered = !is_settling(now) && peers_.is_offered(now);
@@ -517,8 +510,7 @@
     continue_stop();
 }
 
-// Callers keep addresses for a while, so the host accepts their connections
-// until shortly before it is killed.
+// Callers keep addresses for a while, so the host accepts their connections until shortly before it is killed.
 void proxy_host::continue_stop()
 {
     const auto now = environment_.clock();
@@ -537,8 +529,7 @@
     after(stop_pause_, stop_check, &proxy_host::continue_stop);
 }
 
-// A caller is better off with an answer that promises nothing than with a
-// connection that ends.
+// A caller is better off with an answer that promises nothing than with a connection that ends.
 void proxy_host::give_up_requests(kernel::time_point now)
 {
     gave_up_ = true;
--- a/libraries/proxy/request_flow.cpp
+++ b/libraries/proxy/request_flow.cpp
@@ -12,16 +12,13 @@
 
 /// Time that an answer takes from here to the caller, with some reserve.
 constexpr milliseconds answer_reserve{25};
-/// A caller that is refused for lack of a configuration or of authority may
-/// come again after this time.
+/// A caller that is refused for lack of a configuration or of authority may come again after this time.
 constexpr milliseconds retry_when_fresh{1000};
 constexpr milliseconds retry_when_free{300};
-/// Part of the key's withdrawal bound that is left for the way of a request to
-/// its upstream.
+/// Part of the key's withdrawal bound that is left for the way of a request to its upstream.
 constexpr milliseconds withdrawal_reserve{500};
 constexpr milliseconds connect_timeout{400};
-/// A second attempt starts when the first takes this many times the usual time
-/// of the service.
+/// A second attempt starts when the first takes this many times the usual time of the service.
 constexpr int hedge_factor = 3;
 constexpr milliseconds minimum_hedge_delay{100};
 constexpr double latency_smoothing = 0.2;
@@ -106,8 +103,7 @@
     return choose_service(now);
 }
 
-// A request that crashed several upstreams would take down the next one as
-// well.
+// A request that crashed several upstreams would take down the next one as well.
 request_flow::check request_flow::check_quarantine(kernel::time_point now)
 {
     fingerprint_ = fingerprint_of(session_->request(), customer_name());
@@ -164,8 +160,7 @@
     return tl::unexpected{refusal{401, "unknown_key", std::nullopt}};
 }
 
-// The service comes first: the host that stops knows by it whether the request
-// would end in time.
+// The service comes first: the host that stops knows by it whether the request would end in time.
 request_flow::check request_flow::choose_service(kernel::time_point now)
 {
     service_ = use_.weights.next(*route_);
@@ -224,8 +219,7 @@
     enqueue(now);
 }
 
-// An answer after the deadline helps nobody, so a request that cannot be served
-// before it is refused at once.
+// An answer after the deadline helps nobody, so a request that cannot be served before it is refused at once.
 void request_flow::enqueue(kernel::time_point now)
 {
     const auto typical = use_.balancer.service_latency(service_);
@@ -304,8 +298,7 @@
     });
 }
 
-// A repeatable request that takes much longer than usual is tried at a second
-// upstream, within the retry budget.
+// A repeatable request that takes much longer than usual is tried at a second upstream, within the retry budget.
 void request_flow::arm_hedge(kernel::time_point now)
 {
     if (!plan_.may_hedge()) {
@@ -521,9 +514,8 @@
     line().serve();
 }
 
-// An attempt that has taken no longer than usual says nothing about its
-// upstream, and neither does one whose upstream has answered others meanwhile:
-// it waits in the queue there.
+// An attempt that has taken no longer than usual says nothing about its upstream, and neither does one whose upstream
+// has answered others meanwhile: it waits in the queue there.
 void request_flow::cancel_attempts(exchange_outcome evidence)
 {
     if (attempts_.empty()) {
