Proxy: Tell a host that has just started what its customers have left

Cause: a started process knows nothing of the admissions before it, takes each customer's bucket as a third full and its own share as nearly empty, and keeps to that share for two seconds, or for ten more while any host that stopped is taken for one that is cut off: a host that stands by told only its own data centre of its stop. Now hosts that take callers tell a started host what is left (one datagram each), it keeps to the least that it hears, and a host that stops tells all that hear it.

With all hosts killed nobody knows anything, and the start stays as it was.

--- a/libraries/proxy/customer_quota.cpp
+++ b/libraries/proxy/customer_quota.cpp
@@ -101,6 +101,33 @@
     item.tokens = std::max(-maximum_debt * item.burst, item.tokens - static_cast<double>(requests));
 }
 
+quota_levels customer_quota::levels(kernel::time_point now) const
+{
+    quota_levels result;
+    for (const auto& [customer, known] : buckets_) {
+        auto item = known;
+        refill(item, now);
+        if (item.tokens < item.burst) {
+            result[customer] = std::max(0.0, item.tokens / item.burst);
+        }
+    }
+    return result;
+}
+
+void customer_quota::adopt(const quota_levels& levels, kernel::time_point now)
+{
+    for (auto& [customer, item] : buckets_) {
+        const auto known = levels.find(customer);
+        const double level = known == levels.end() ? 1 : known->second;
+        refill(item, now);
+        const double tokens = level * item.burst;
+        const double own_tokens = level * own_burst(item);
+        item.tokens = adopted_ ? std::min(item.tokens, tokens) : tokens;
+        item.own_tokens = adopted_ ? std::min(item.own_tokens, own_tokens) : own_tokens;
+    }
+    adopted_ = true;
+}
+
 bool customer_quota::report_is_urgent(kernel::time_point now) const
 {
     return std::any_of(buckets_.begin(), buckets_.end(), [&](const auto& entry) {
--- a/libraries/proxy/customer_quota.h
+++ b/libraries/proxy/customer_quota.h
@@ -15,6 +15,9 @@
 /// Requests admitted for each customer since the start of a process.
 using admitted_counts = std::map<kernel::customer_name, std::uint64_t>;
 
+/// Part of the burst that is left to each customer, 0 to 1; customers with all of it are left out.
+using quota_levels = std::map<kernel::customer_name, double>;
+
 /// Rate and burst of each customer over all hosts.
 ///
 /// Each host keeps a bucket of the customer's whole rate and burst, from which it takes its own admissions at once and
@@ -40,6 +43,13 @@
     /// Another host has admitted `requests` since its last report.
     void record_elsewhere(const kernel::customer_name& customer, std::uint64_t requests, kernel::time_point now);
 
+    /// What is left to the customers, for a host that has just started.
+    [[nodiscard]] quota_levels levels(kernel::time_point now) const;
+
+    /// Takes over what another host knows. A process that starts knows nothing of the admissions before it; of several
+    /// hosts that tell it the least counts.
+    void adopt(const quota_levels& levels, kernel::time_point now);
+
     /// What this host has admitted since its start.
     [[nodiscard]] const admitted_counts& admitted() const { return admitted_; }
 
@@ -69,6 +79,7 @@
     double tolerated_ = 0;
     std::size_t hosts_ = 1;
     bool certain_ = false;
+    bool adopted_ = false;
 };
 
 } // namespace wisterialane::proxy
--- a/libraries/proxy/peer_directory.cpp
+++ b/libraries/proxy/peer_directory.cpp
@@ -52,8 +52,8 @@
     }
     auto& item = peers_[record.host];
     result.newly_heard = !is_live(item, now);
-    const bool restarted = item.state.instance != state.instance;
-    auto counts = restarted ? admitted_counts{} : std::move(item.state.admitted);
+    result.started = item.state.instance != state.instance;
+    auto counts = result.started ? admitted_counts{} : std::move(item.state.admitted);
     for (const auto& [customer, count] : state.admitted) {
         const auto known = counts[customer];
         // After a long silence the old count says nothing about the present window.
--- a/libraries/proxy/peer_directory.h
+++ b/libraries/proxy/peer_directory.h
@@ -49,6 +49,8 @@
     struct news {
         /// The host was silent or unknown before.
         bool newly_heard = false;
+        /// Its process is another one than before, or the first that is heard.
+        bool started = false;
         /// Requests that it has admitted since its last message.
         admitted_counts admitted;
     };
--- a/libraries/proxy/peer_message.cpp
+++ b/libraries/proxy/peer_message.cpp
@@ -99,6 +99,12 @@
     if (const auto results = document.find("results"); results != document.end()) {
         message.results = read_results(*results);
     }
+    if (const auto levels = document.find("levels"); levels != document.end()) {
+        message.levels.emplace();
+        for (const auto& [customer, level] : levels->items()) {
+            (*message.levels)[kernel::customer_name{customer}] = level.get<int>() / percent;
+        }
+    }
     for (const auto& [customer, count] : document.at("admitted").items()) {
         message.state.admitted[kernel::customer_name{customer}] = count.get<std::uint64_t>();
     }
@@ -137,6 +143,12 @@
     if (message.relay) {
         document["relay"] = write_relay(*message.relay);
     }
+    if (message.levels) {
+        auto& levels = document["levels"] = nlohmann::json::object();
+        for (const auto& [customer, level] : *message.levels) {
+            levels[customer.value()] = static_cast<int>(level * percent);
+        }
+    }
     if (message.results) {
         document["results"] = write_results(*message.results);
     }
--- a/libraries/proxy/peer_message.h
+++ b/libraries/proxy/peer_message.h
@@ -31,6 +31,8 @@
     std::optional<store_relay> relay;
     /// What became of the sender's requests; empty in messages that say nothing about it.
     std::optional<service_counts> results;
+    /// What is left to each customer; for a host that has just started.
+    std::optional<quota_levels> levels;
 };
 
 /// The message as CBOR.
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -265,6 +265,12 @@
         environment_.log.write(now, line_urgency::routine, proxy_event::peer_heard,
                                {{"host", received->sender.host.value()}});
     }
+    if (news.started) {
+        tell_levels(received->sender, now);
+    }
+    if (received->levels && is_settling(now)) {
+        environment_.quota.adopt(*received->levels, now);
+    }
     for (const auto& [customer, count] : news.admitted) {
         environment_.quota.record_elsewhere(customer, count, now);
     }
@@ -297,6 +303,16 @@
     }
 }
 
+// Only hosts that take callers hear the admissions of all others.
+void proxy_host::tell_levels(const host_record& started, kernel::time_point now)
+{
+    if (is_settling(now) || !peers_.is_offered(now)) {
+        return;
+    }
+    channel_->send({settings_.self, own_state(), {}, std::nullopt, std::nullopt, environment_.quota.levels(now)},
+                   {started.peer_address});
+}
+
 void proxy_host::register_self()
 {
     source_.register_host(settings_.self, [this](const auto& done) {
@@ -393,8 +409,8 @@
                             {"stopping", environment_.stop.stopping() ? "yes" : "no"},
                             {"age_ms", age ? std::to_string(std::chrono::duration_cast<milliseconds>(*age).count())
                                            : std::string{"unknown"}}});
-    // Hosts of other data centres know those only that callers are sent to.
-    send_state(offered_ ? peers_.everyone() : peers_.neighbours());
+    // A host that stops without a word would be taken for one that is cut off.
+    send_state(offered_ ? peers_.everyone() : peers_.audience(now));
 }
 
 // Right after the start no other host is heard, and each would take itself for the first of its data centre.
@@ -472,13 +488,14 @@
     auto state = own_state();
     state.admitted = environment_.quota.admitted();
     channel_->send(
-        {settings_.self, std::move(state), {}, std::nullopt, environment_.results.report(environment_.clock())}, to);
+        {settings_.self, std::move(state), {}, std::nullopt, environment_.results.report(state_sent_at_), std::nullopt},
+        to);
     environment_.quota.reported();
 }
 
 void proxy_host::send_evidence(const std::vector<kernel::socket_address>& to, std::vector<shared_evidence> evidence)
 {
-    channel_->send({settings_.self, own_state(), std::move(evidence), std::nullopt, std::nullopt}, to);
+    channel_->send({settings_.self, own_state(), std::move(evidence), std::nullopt, std::nullopt, std::nullopt}, to);
 }
 
 // Without counts, which only `send_state` adds.
@@ -493,7 +510,8 @@
     const auto now = environment_.clock();
     peers_.set_reaches_store(watch_->reaches_store(now));
     if (!environment_.stop.stopping() && is_reader(now)) {
-        channel_->send({settings_.self, own_state(), {}, std::move(relay), std::nullopt}, peers_.neighbours());
+        channel_->send({settings_.self, own_state(), {}, std::move(relay), std::nullopt, std::nullopt},
+                       peers_.neighbours());
     }
 }
 
--- a/libraries/proxy/proxy_host.h
+++ b/libraries/proxy/proxy_host.h
@@ -78,6 +78,7 @@
     void on_directory_change(const upstream_record& record, directory_change change);
     void on_peer_message(const kernel::result<peer_message>& received);
 
+    void tell_levels(const host_record& started, kernel::time_point now);
     void register_self();
     void read_hosts();
     void tick();
--- a/tests/proxy/test_customer_quota.cpp
+++ b/tests/proxy/test_customer_quota.cpp
@@ -2,6 +2,7 @@
 #include "tests/proxy/proxy_fixture.h"
 
 #include <deque>
+#include <map>
 #include <random>
 
 #include <doctest/doctest.h>
@@ -14,6 +15,8 @@
 constexpr milliseconds report_delay{50};
 /// Hosts that take callers report this often, and at once when tokens are short.
 constexpr milliseconds state_pause{500};
+/// A process that has just started is not certain for this time that it hears all others.
+constexpr seconds settling_time{2};
 
 /// Hosts that admit one customer's requests and tell one another, with a delay.
 struct quota_fixture {
@@ -24,6 +27,7 @@
     };
 
     kernel::customer_name customer{"seller"};
+    traffic_customer settings;
     std::vector<customer_quota> hosts;
     std::deque<report> under_way;
     std::vector<kernel::time_point> admitted;
@@ -33,7 +37,6 @@
 
     void start(std::size_t count, bool certain = true, double rate_and_burst = rate)
     {
-        traffic_customer settings;
         settings.name = customer;
         settings.rate_per_second = rate_and_burst;
         settings.burst = rate_and_burst;
@@ -90,6 +93,17 @@
         tell_if_due(now);
     }
 
+    /// The process of a host ends and starts again; a host that has heard all others tells it what is left.
+    void restart(std::size_t index, kernel::time_point now)
+    {
+        hosts[index] = customer_quota{};
+        told[index] = 0;
+        hosts[index].set_hosts(hosts.size(), false);
+        hosts[index].set_tolerance(20);
+        hosts[index].configure({settings}, now);
+        hosts[index].adopt(hosts[(index + 1) % hosts.size()].levels(now), now);
+    }
+
     /// Sends `per_second` requests to random hosts for a time.
     void run(double per_second, seconds length, unsigned seed)
     {
@@ -112,6 +126,23 @@
         }
     }
 
+    /// Requests of independent callers, a quarter of them to the first host, which has just started. Returns how many
+    /// it was offered.
+    int offer_from(kernel::time_point begin, seconds length, double per_second, unsigned seed)
+    {
+        std::mt19937 random{seed};
+        std::exponential_distribution<double> gap{per_second};
+        int offered = 0;
+        for (auto now = begin; now < begin + length;) {
+            hosts.front().set_hosts(hosts.size(), now - begin >= settling_time);
+            const bool to_first = random() % 4 == 0;
+            offered += to_first ? 1 : 0;
+            offer(to_first ? 0 : 1 + random() % (hosts.size() - 1), now);
+            now += std::chrono::duration_cast<kernel::duration>(std::chrono::duration<double>{gap(random)});
+        }
+        return offered;
+    }
+
     /// The most admissions in any span of this length.
     [[nodiscard]] std::size_t most_in(seconds span) const
     {
@@ -170,6 +201,50 @@
     CHECK(most_in(seconds{5}) <= static_cast<std::size_t>((rate * 5 + burst) * 1.1 + 20));
 }
 
+// Guards against FLOOR broken on asiis-gw-grown: a host that takes a quarter of the callers, started again, refused
+// customers within their rates for seconds, and the upstreams of its data centre got nothing.
+TEST_CASE_FIXTURE(quota_fixture,
+                  "customer_quota: host starts again among live ones, 0.6 of the rate: refuses as few as before")
+{
+    for (const double rate_and_burst : {4.0, 12.0, 36.0}) {
+        CAPTURE(rate_and_burst);
+        int offered = 0;
+        std::map<bool, int> refused_by;
+        for (unsigned run = 0; run < 40; ++run) {
+            const bool starts_again = run % 2 == 0;
+            const unsigned seed = run / 2;
+            start(8, true, rate_and_burst);
+            run_at_random(0.6 * rate_and_burst, seconds{10}, seed);
+            refused = 0;
+            const auto started = test_start + seconds{11};
+            if (starts_again) {
+                restart(0, started);
+            }
+            offered += offer_from(started, seconds{4}, 0.6 * rate_and_burst, seed);
+            refused_by[starts_again] += refused;
+        }
+        CHECK((refused_by[true] - refused_by[false]) * 20 <= offered);
+    }
+}
+
+// Guards against a burst that each process gets anew, however short of tokens the customer is.
+TEST_CASE_FIXTURE(quota_fixture,
+                  "customer_quota: a host starts again each second, five times the rate: stays within the bound")
+{
+    start(8);
+    std::mt19937 random{6};
+    auto restart_at = test_start + seconds{3};
+    std::size_t next = 0;
+    for (auto now = test_start; now < test_start + seconds{20}; now += milliseconds{5}) {
+        if (now >= restart_at) {
+            restart(next++ % hosts.size(), now);
+            restart_at += seconds{1};
+        }
+        offer(random() % hosts.size(), now);
+    }
+    CHECK(most_in(seconds{5}) <= static_cast<std::size_t>((rate * 5 + burst) * 1.1 + 20));
+}
+
 TEST_CASE_FIXTURE(quota_fixture, "customer_quota: refused: says when to come again")
 {
     start(1);
--- a/tests/proxy/test_peer_directory.cpp
+++ b/tests/proxy/test_peer_directory.cpp
@@ -150,4 +150,15 @@
     CHECK(addresses(0).size() == 1);
 }
 
+// Guards against a host that starts again at once and is not told what its customers have left.
+TEST_CASE_FIXTURE(fleet_fixture, "peer_directory: host heard again with another process: has started")
+{
+    CHECK(hosts[0].hear(records[1], states[1], now).started);
+    CHECK_FALSE(hosts[0].hear(records[1], states[1], now).started);
+    states[1].instance = kernel::instance_id{"next"};
+    const auto news = hosts[0].hear(records[1], states[1], now);
+    CHECK(news.started);
+    CHECK_FALSE(news.newly_heard);
+}
+
 } // namespace wisterialane::proxy
--- a/tests/proxy/test_platform_formats.cpp
+++ b/tests/proxy/test_platform_formats.cpp
@@ -116,6 +116,7 @@
                                 store_revision{2},
                                 {make_upstream("a", "z", 3)},
                                 {kernel::upstream_name{"gone"}}};
+    message.levels = quota_levels{{kernel::customer_name{"c"}, 0.25}};
     message.results = service_counts{{kernel::service_name{"archive"}, {5, 2}}};
     const auto decoded = decode_peer_message(encode(message));
     REQUIRE(decoded);
@@ -129,6 +130,7 @@
     CHECK(decoded->relay->present[0].slots == 3);
     CHECK(decoded->relay->removed[0] == kernel::upstream_name{"gone"});
     CHECK(decoded->results == message.results);
+    CHECK(decoded->levels == message.levels);
 }
 
 TEST_CASE("decode_peer_message: any other bytes: fail")
