--- a/libraries/proxy/service_results.cpp
+++ b/libraries/proxy/service_results.cpp
@@ -8,13 +8,11 @@
 namespace {
 
 constexpr std::chrono::seconds window{3};
-/// A report is forgotten after this time; hosts that callers are sent to report
-/// twice a second.
+/// A report is forgotten after this time; hosts that callers are sent to report twice a second.
 constexpr kernel::duration report_life = std::chrono::milliseconds{2500};
 /// More services are not reported in one message.
 constexpr std::size_t maximum_reported_services = 32;
-/// Below the tenth of the requests from which on every sound upstream has to
-/// work, because reports are late.
+/// Below the tenth of the requests from which on every sound upstream has to work, because reports are late.
 constexpr double strain_threshold = 0.07;
 
 } // namespace
