--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -132,6 +132,7 @@
         summary.missing += upstream->missing ? 1 : 0;
         summary.stuck += is_stuck(*upstream, mean_latency, now) ? 1 : 0;
         summary.recently_used += now - upstream->last_request_at < recent_use_window ? 1 : 0;
+        summary.in_flight += upstream->in_flight.size();
     }
     summary.results = results_.local_counts(service, now);
     summary.strained = results_.is_strained(service, now);
--- a/libraries/proxy/load_balancer.h
+++ b/libraries/proxy/load_balancer.h
@@ -42,6 +42,8 @@
     std::size_t stuck = 0;
     /// Upstreams that received a request of this host in the last two seconds.
     std::size_t recently_used = 0;
+    /// Requests of this host in flight at the service's upstreams.
+    std::size_t in_flight = 0;
     result_counts results;
     /// So many requests of the service are unserved that all upstreams that may be healthy are needed.
     bool strained = false;
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -389,6 +389,8 @@
         if (static_cast<double>(summary.results.unserved) <= reported_unserved_fraction * ended) {
             continue;
         }
+        const auto latency =
+            std::chrono::duration_cast<milliseconds>(environment_.balancer.service_latency(service));
         environment_.log.write(now, line_priority::important, proxy_event::service_unserved,
                                {{"service", service.value()},
                                 {"served", std::to_string(summary.results.served)},
@@ -400,7 +402,9 @@
                                 {"suspected", std::to_string(summary.suspected)},
                                 {"missing", std::to_string(summary.missing)},
                                 {"stuck", std::to_string(summary.stuck)},
-                                {"used", std::to_string(summary.recently_used)}});
+                                {"used", std::to_string(summary.recently_used)},
+                                {"in_flight", std::to_string(summary.in_flight)},
+                                {"latency_ms", std::to_string(latency.count())}});
     }
 }
 
--- a/libraries/proxy/store_watch.cpp
+++ b/libraries/proxy/store_watch.cpp
@@ -29,6 +29,9 @@
 /// For this time after its last successful call a host counts as one that reaches the store, because hosts that rely on
 /// a store reader make no calls.
 constexpr milliseconds success_lifetime{60000};
+/// Names of the calls in the log.
+constexpr std::string_view configuration_call = "configuration";
+constexpr std::string_view upstreams_call = "upstreams";
 
 // After a call that was refused or failed in transit, the next one requests the changes since the same revision, and
 // relays of the store reader can still be applied in the meantime.
@@ -126,7 +129,7 @@
         return;
     }
     if (!reading) {
-        record_failure(reading.error());
+        record_failure(configuration_call, reading.error());
         if (requires_full_read(reading.error())) {
             configuration_revision_.reset();
         }
@@ -134,7 +137,7 @@
                  &store_watch::watch_configuration);
         return;
     }
-    record_success(reading->metadata);
+    record_success(configuration_call, reading->metadata);
     configuration_retry_.reset();
     upstreams_.remove_missing(hooks_.clock());
     const bool in_force = !reading->configuration || hooks_.apply(*reading->configuration);
@@ -175,7 +178,7 @@
     }
     const auto now = hooks_.clock();
     if (!reading) {
-        record_failure(reading.error());
+        record_failure(upstreams_call, reading.error());
         if (!reading.error().is(proxy_event::store_history_lost)) {
             upstreams_.record_store_failure(now);
         }
@@ -185,7 +188,7 @@
         schedule(upstreams_timer_, upstreams_retry_.next_delay(now), &store_watch::watch_upstreams);
         return;
     }
-    record_success(reading->metadata);
+    record_success(upstreams_call, reading->metadata);
     upstreams_retry_.reset();
     for (const auto& key : reading->unreadable_keys) {
         log_.write(now, line_priority::routine, proxy_event::upstream_entry_unreadable, {{"entry", key}});
@@ -262,7 +265,7 @@
     upstreams_revision_ = relay.up_to;
 }
 
-void store_watch::record_success(const response_metadata& metadata)
+void store_watch::record_success(std::string_view call, const response_metadata& metadata)
 {
     store_clock_.observe(metadata.sent_at, metadata.store_now);
     last_success_at_ = hooks_.clock();
@@ -271,19 +274,21 @@
         const auto now = hooks_.clock();
         const auto outage_ms = std::chrono::duration_cast<milliseconds>(now - *failing_since_).count();
         log_.write(now, line_priority::important, proxy_event::store_recovered,
-                   {{"away_ms", std::to_string(outage_ms)}});
+                   {{"call", std::string{call}}, {"away_ms", std::to_string(outage_ms)}});
         failing_since_.reset();
     }
 }
 
-void store_watch::record_failure(const kernel::failure& reason)
+void store_watch::record_failure(std::string_view call, const kernel::failure& reason)
 {
     metrics_.record_store_call(reason.name());
     const auto now = hooks_.clock();
     if (!failing_since_) {
         failing_since_ = now;
         log_.write(now, line_priority::important, proxy_event::store_unreachable,
-                   {{"reason", std::string{reason.name()}}, {"detail", reason.subject()}});
+                   {{"call", std::string{call}},
+                    {"reason", std::string{reason.name()}},
+                    {"detail", reason.subject()}});
     }
 }
 
--- a/libraries/proxy/store_watch.h
+++ b/libraries/proxy/store_watch.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 namespace wisterialane::proxy {
 
@@ -77,8 +78,8 @@
                        std::vector<kernel::upstream_name> removed);
     void apply_changes(const std::vector<upstream_record>& present, const std::vector<kernel::upstream_name>& removed,
                        kernel::time_point now);
-    void record_success(const response_metadata& metadata);
-    void record_failure(const kernel::failure& reason);
+    void record_success(std::string_view call, const response_metadata& metadata);
+    void record_failure(std::string_view call, const kernel::failure& reason);
     void schedule(timer& delay_timer, std::chrono::milliseconds delay, void (store_watch::*next)());
 
     store_client& store_;
--- a/tests/proxy/test_load_balancer.cpp
+++ b/tests/proxy/test_load_balancer.cpp
@@ -149,6 +149,7 @@
     CHECK(summary.suspected == 1);
     CHECK(summary.stuck == 1);
     CHECK(summary.recently_used == 1);
+    CHECK(summary.in_flight == 1);
     CHECK(summary.results == result_counts{1, 2});
     CHECK(summary.strained);
 }
