Store watch: Read the newest version within two seconds of the store's return

Cause, from the log lines with the call: (1) a call that the silence had swallowed was awaited for 2.1 s (for the upstreams 3.7 s), because it allowed the store 0.9 s to wait for a change; (2) a pause of up to 1.2 s followed; (3) a relay of a newer version neither ended the pending call nor the wait for the next relay after the pause; (4) the call for the upstreams that was sent in the silence failed after the configuration had been read, so that 32 of 36 hosts lost the store again 1.3 s after its return (silence of 5.0 s) and the readers changed. Class: recovery that waits for what was sent during the fault.

Ruled out: lost relays (the hosts logged the reader's versions only after their own calls), refused calls (every failure was a time-out), a version that comes back (versions only rise in the log).

Change: while calls fail the store is asked to answer at once, so that an unanswered call ends after 1.2 s; the pause grows to 0.6 s; a relay of a newer version replaces a pending call once for each version, and the pause ends in a read; a read configuration replaces a call for the upstreams from the time of the fault. So a host reads the newest version 1.2 + 0.6 s + one read after the store's return at the latest, whatever the other hosts do, and sooner when the reader of its data centre is back. Refused calls cost as before: the configuration is asked for every 0.6 s instead of 1.2 s, with one attempt at a time. The stand-in of the store closed the connection of a call that it was to leave unanswered; it keeps it open now.

Tests: four cases of store_watch fail on the old logic (each of its four parts put back: 4 of 13 cases fail) and one of store_source guards the cancelled call. The case of retry_backoff checks the maximum of each kind of call.

--- a/libraries/proxy/http_client.cpp
+++ b/libraries/proxy/http_client.cpp
@@ -27,11 +27,21 @@
     start_next();
 }
 
+void http_client::cancel_calls()
+{
+    ++generation_;
+    calls_.clear();
+    if (stream_) {
+        stream_->close();
+        stream_.reset();
+    }
+    running_ = false;
+}
+
 void http_client::stop()
 {
     stopped_ = true;
-    calls_.clear();
-    stream_.reset();
+    cancel_calls();
 }
 
 void http_client::start_next()
@@ -60,20 +70,13 @@
 
 void http_client::connect()
 {
-    stream_ = std::make_unique<tcp_stream>(context_.get_executor());
+    stream_ = std::make_shared<tcp_stream>(context_.get_executor());
     buffer_.clear();
     stream_->expires_after(connect_timeout);
-    stream_->async_connect(server_, [self = shared_from_this()](error_code error) {
-        if (self->stopped_) {
-            return;
-        }
-        if (error) {
-            self->fail(error);
-            return;
-        }
-        set_connection_options(self->stream_->socket(), tcp_user_timeout);
-        self->send();
-    });
+    stream_->async_connect(server_, while_pending([](http_client& self) {
+                               set_connection_options(self.stream_->socket(), tcp_user_timeout);
+                               self.send();
+                           }));
 }
 
 void http_client::send()
@@ -81,41 +84,28 @@
     sent_ = clock_();
     stream_->expires_after(calls_.front().request.timeout);
     boost::asio::async_write(*stream_, boost::asio::buffer(outgoing_),
-                             [self = shared_from_this()](error_code error, std::size_t) {
-                                 if (self->stopped_) {
-                                     return;
-                                 }
-                                 if (error) {
-                                     self->fail(error);
-                                     return;
-                                 }
-                                 self->receive();
-                             });
+                             while_pending([](http_client& self) { self.receive(); }));
 }
 
 void http_client::receive()
 {
     parser_ = std::make_unique<http::response_parser<http::string_body>>();
     parser_->body_limit(maximum_response_bytes);
-    http::async_read(*stream_, buffer_, *parser_, [self = shared_from_this()](error_code error, std::size_t) {
-        if (self->stopped_) {
-            return;
-        }
-        if (error) {
-            self->fail(error);
-            return;
-        }
-        auto& message = self->parser_->get();
-        const bool reusable = self->parser_->keep_alive();
-        client_response response{message.result_int(), std::move(message.body()), self->sent_};
-        if (!reusable) {
-            self->stream_.reset();
-        }
-        else {
-            self->stream_->expires_never();
-        }
-        self->finish(std::move(response));
-    });
+    http::async_read(*stream_, buffer_, *parser_, while_pending([](http_client& self) { self.on_response(); }));
+}
+
+void http_client::on_response()
+{
+    auto& message = parser_->get();
+    const bool reusable = parser_->keep_alive();
+    client_response response{message.result_int(), std::move(message.body()), sent_};
+    if (!reusable) {
+        stream_.reset();
+    }
+    else {
+        stream_->expires_never();
+    }
+    finish(std::move(response));
 }
 
 void http_client::fail(error_code reason)
--- a/libraries/proxy/http_client.h
+++ b/libraries/proxy/http_client.h
@@ -3,6 +3,7 @@
 #include "kernel/failure.h"
 #include "libraries/proxy/network.h"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -40,7 +41,10 @@
     /// effect.
     void call(client_request request, completion_handler on_complete);
 
-    /// Discards all calls without calling their handlers.
+    /// Discards all calls without calling their handlers, and closes the connection.
+    void cancel_calls();
+
+    /// Discards all calls like `cancel_calls`. Later calls are ignored.
     void stop();
 
 private:
@@ -53,13 +57,32 @@
     void connect();
     void send();
     void receive();
+    void on_response();
     void finish(kernel::result<client_response> outcome);
     void fail(error_code reason);
 
+    /// Wraps a handler of the connection, so that it runs only if the call that started it was not discarded. Keeps the
+    /// connection alive until then.
+    template <class Handler>
+    [[nodiscard]] auto while_pending(Handler next)
+    {
+        return [self = shared_from_this(), stream = stream_, generation = generation_,
+                next = std::move(next)](error_code error, auto&&...) {
+            if (generation != self->generation_) {
+                return;
+            }
+            if (error) {
+                self->fail(error);
+                return;
+            }
+            next(*self);
+        };
+    }
+
     io_context& context_;
     tcp::endpoint server_;
     kernel::clock_source clock_;
-    std::unique_ptr<tcp_stream> stream_;
+    std::shared_ptr<tcp_stream> stream_;
     boost::beast::flat_buffer buffer_;
     std::unique_ptr<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
     std::deque<pending_call> calls_;
@@ -67,6 +90,8 @@
     kernel::time_point sent_{};
     bool running_ = false;
     bool stopped_ = false;
+    /// Changes when the calls are discarded, so that handlers of the old connection do nothing.
+    std::uint64_t generation_ = 0;
 };
 
 } // namespace wisterialane::proxy
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -389,8 +389,7 @@
         if (static_cast<double>(summary.results.unserved) <= reported_unserved_fraction * ended) {
             continue;
         }
-        const auto latency =
-            std::chrono::duration_cast<milliseconds>(environment_.balancer.service_latency(service));
+        const auto latency = std::chrono::duration_cast<milliseconds>(environment_.balancer.service_latency(service));
         environment_.log.write(now, line_priority::important, proxy_event::service_unserved,
                                {{"service", service.value()},
                                 {"served", std::to_string(summary.results.served)},
--- a/libraries/proxy/store_client.h
+++ b/libraries/proxy/store_client.h
@@ -75,6 +75,12 @@
 
     virtual void register_host(const host_record& record, handler<response_metadata> done) = 0;
 
+    /// Discards the pending calls for the configuration without completing them. Later ones use a new connection.
+    virtual void cancel_configuration_calls() = 0;
+
+    /// Discards the pending calls for the upstreams without completing them. Later ones use a new connection.
+    virtual void cancel_upstream_calls() = 0;
+
     /// Cancels all calls.
     virtual void stop() = 0;
 };
--- a/libraries/proxy/store_watch.cpp
+++ b/libraries/proxy/store_watch.cpp
@@ -19,7 +19,13 @@
 /// Delay after a failed call; doubles with each further failure up to the maximum. Every host calls the store while it
 /// is unavailable, and refused calls have a cost, too.
 constexpr milliseconds initial_retry_delay{300};
-constexpr milliseconds maximum_retry_delay{1200};
+/// Together with the timeout of a call that the store does not answer, this delay determines how long after the store's
+/// return a host reads the newest version; see docs/design.md, 12.3.
+constexpr milliseconds maximum_configuration_retry_delay{600};
+constexpr milliseconds maximum_upstreams_retry_delay{1200};
+/// A pending call is overdue if a newer version is known to exist and the call was sent longer ago than this, because
+/// the store answers it as soon as there is a newer version.
+constexpr milliseconds overdue_call_time{600};
 /// A host that receives no relay for this time reads the store itself. The store reader sends a relay after each
 /// response, at least once per `configuration_poll_timeout`. A new version must be in force within two seconds even if
 /// the reader fails.
@@ -44,7 +50,7 @@
 
 milliseconds retry_backoff::next_delay(kernel::time_point now)
 {
-    delay_ = delay_.count() == 0 ? initial_retry_delay : std::min(maximum_retry_delay, 2 * delay_);
+    delay_ = delay_.count() == 0 ? initial_retry_delay : std::min(maximum_delay_, 2 * delay_);
     delay_end_ = now + delay_;
     return delay_;
 }
@@ -54,7 +60,8 @@
                          hooks callbacks)
     : store_{store}, upstreams_{upstreams}, freshness_{freshness}, metrics_{metrics}, log_{log}, hooks_{std::move(
                                                                                                      callbacks)},
-      configuration_timer_{context.get_executor()}, upstreams_timer_{context.get_executor()}
+      configuration_timer_{context.get_executor()}, upstreams_timer_{context.get_executor()},
+      configuration_retry_{maximum_configuration_retry_delay}, upstreams_retry_{maximum_upstreams_retry_delay}
 {}
 
 void store_watch::start()
@@ -109,14 +116,19 @@
 
 void store_watch::watch_configuration()
 {
-    if (const auto wait = remaining_relay_wait(hooks_.clock()); wait > kernel::duration::zero()) {
+    const auto now = hooks_.clock();
+    const bool newer_exists = relayed_version_ > hooks_.version();
+    if (const auto wait = remaining_relay_wait(now); wait > kernel::duration::zero() && !newer_exists) {
         schedule(configuration_timer_, std::chrono::ceil<milliseconds>(wait), &store_watch::watch_configuration);
         return;
     }
     reading_configuration_ = true;
+    configuration_call_sent_at_ = now;
     const auto done = [self = shared_from_this()](const auto& reading) { self->on_configuration(reading); };
     if (configuration_revision_) {
-        store_.await_configuration(*configuration_revision_, configuration_poll_timeout, done);
+        // While calls fail, the store is asked to answer at once, so that an unanswered call times out early.
+        const auto poll_timeout = configuration_retry_.has_failed() ? milliseconds{0} : configuration_poll_timeout;
+        store_.await_configuration(*configuration_revision_, poll_timeout, done);
         return;
     }
     store_.read_configuration(done);
@@ -138,7 +150,10 @@
         return;
     }
     record_success(configuration_call, reading->metadata);
-    configuration_retry_.reset();
+    if (configuration_retry_.has_failed()) {
+        configuration_retry_.reset();
+        restart_upstreams_call();
+    }
     upstreams_.remove_missing(hooks_.clock());
     const bool in_force = !reading->configuration || hooks_.apply(*reading->configuration);
     if (in_force && hooks_.version().value() > 0) {
@@ -152,6 +167,17 @@
     watch_configuration();
 }
 
+// A call that was sent while the store was unavailable may never be answered.
+void store_watch::restart_upstreams_call()
+{
+    if (reading_upstreams_) {
+        store_.cancel_upstream_calls();
+        reading_upstreams_ = false;
+    }
+    upstreams_timer_.cancel();
+    watch_upstreams();
+}
+
 void store_watch::watch_upstreams()
 {
     if (const auto wait = remaining_relay_wait(hooks_.clock()); wait > kernel::duration::zero()) {
@@ -241,12 +267,8 @@
     relay_received_at_ = now;
     upstreams_.remove_missing(now);
     if (relay.version > hooks_.version()) {
-        // After a failed call the retry delay applies, no matter how many relays arrive.
-        if (!reading_configuration_ && !configuration_retry_.is_delaying(now)) {
-            configuration_revision_.reset();
-            configuration_timer_.cancel();
-            watch_configuration();
-        }
+        relayed_version_ = std::max(relayed_version_, relay.version);
+        read_newer_version(now);
     }
     else if (relay.version == hooks_.version() && relay.version.value() > 0) {
         freshness_.confirm(store_clock_, relay.confirmed_at);
@@ -265,6 +287,30 @@
     upstreams_revision_ = relay.up_to;
 }
 
+// After a failed call the retry delay applies, no matter how many relays arrive. A pending call is replaced once for
+// each version, so that relays do not cancel each call to a slow store.
+void store_watch::read_newer_version(kernel::time_point now)
+{
+    if (reading_configuration_) {
+        if (!configuration_call_is_overdue(now) || replaced_call_for_ == relayed_version_) {
+            return;
+        }
+        replaced_call_for_ = relayed_version_;
+        store_.cancel_configuration_calls();
+    }
+    else if (configuration_retry_.is_delaying(now)) {
+        return;
+    }
+    configuration_revision_.reset();
+    configuration_timer_.cancel();
+    watch_configuration();
+}
+
+bool store_watch::configuration_call_is_overdue(kernel::time_point now) const
+{
+    return configuration_retry_.has_failed() || now - configuration_call_sent_at_ >= overdue_call_time;
+}
+
 void store_watch::record_success(std::string_view call, const response_metadata& metadata)
 {
     store_clock_.observe(metadata.sent_at, metadata.store_now);
@@ -286,9 +332,7 @@
     if (!failing_since_) {
         failing_since_ = now;
         log_.write(now, line_priority::important, proxy_event::store_unreachable,
-                   {{"call", std::string{call}},
-                    {"reason", std::string{reason.name()}},
-                    {"detail", reason.subject()}});
+                   {{"call", std::string{call}}, {"reason", std::string{reason.name()}}, {"detail", reason.subject()}});
     }
 }
 
--- a/libraries/proxy/store_watch.h
+++ b/libraries/proxy/store_watch.h
@@ -18,14 +18,20 @@
 /// Computes the delay before the next call after consecutive failures. It doubles with each failure up to a maximum.
 class retry_backoff {
 public:
+    explicit retry_backoff(std::chrono::milliseconds maximum_delay) : maximum_delay_{maximum_delay} {}
+
     [[nodiscard]] std::chrono::milliseconds next_delay(kernel::time_point now);
 
     /// Whether the delay after the last failure has not passed yet.
     [[nodiscard]] bool is_delaying(kernel::time_point now) const { return now < delay_end_; }
 
+    /// Whether the last call failed.
+    [[nodiscard]] bool has_failed() const { return delay_.count() > 0; }
+
     void reset() { delay_ = std::chrono::milliseconds{0}; }
 
 private:
+    std::chrono::milliseconds maximum_delay_;
     std::chrono::milliseconds delay_{0};
     kernel::time_point delay_end_{};
 };
@@ -72,8 +78,11 @@
 private:
     void watch_configuration();
     void on_configuration(const kernel::result<configuration_reading>& reading);
+    void read_newer_version(kernel::time_point now);
+    [[nodiscard]] bool configuration_call_is_overdue(kernel::time_point now) const;
     void watch_upstreams();
     void on_upstreams(const kernel::result<upstreams_reading>& reading, bool complete);
+    void restart_upstreams_call();
     void relay_changes(store_revision after, std::vector<upstream_record> present,
                        std::vector<kernel::upstream_name> removed);
     void apply_changes(const std::vector<upstream_record>& present, const std::vector<kernel::upstream_name>& removed,
@@ -93,6 +102,11 @@
     timer upstreams_timer_;
     retry_backoff configuration_retry_;
     retry_backoff upstreams_retry_;
+    kernel::time_point configuration_call_sent_at_{};
+    /// The newest version that a relay has reported.
+    kernel::version_number relayed_version_;
+    /// The relayed version for which a pending call was replaced by a new one.
+    kernel::version_number replaced_call_for_;
     std::optional<store_revision> configuration_revision_;
     std::optional<store_revision> upstreams_revision_;
     std::optional<kernel::time_point> failing_since_;
--- a/tests/edge/test_store_source.cpp
+++ b/tests/edge/test_store_source.cpp
@@ -136,6 +136,28 @@
     CHECK(read_upstreams());
 }
 
+// Guards against a call that waits for the timeout of an unanswered one after the store has returned.
+TEST_CASE_FIXTURE(source_fixture,
+                  "store_source: unanswered call cancelled: never completes, and the next one is answered")
+{
+    store.put("op", "config", configuration);
+    store.set_mode(store_mode::unresponsive);
+    bool completed = false;
+    const auto mark_completed = [&completed](const auto&) { completed = true; };
+    source->await_configuration(proxy::store_revision{0}, milliseconds{300}, mark_completed);
+    source->await_upstream_changes(proxy::store_revision{0}, milliseconds{300}, mark_completed);
+    context.run_for(milliseconds{50});
+    source->cancel_configuration_calls();
+    source->cancel_upstream_calls();
+    store.set_mode(store_mode::available);
+    const auto reading =
+        wait<proxy::configuration_reading>([this](auto done) { source->read_configuration(std::move(done)); });
+    REQUIRE(reading);
+    CHECK(reading->configuration);
+    CHECK(read_upstreams());
+    CHECK_FALSE(completed);
+}
+
 TEST_CASE_FIXTURE(source_fixture, "store_source: host registered: is read back")
 {
     const proxy::host_record self{kernel::host_name{"h1"}, kernel::data_centre_name{"z1"},
--- a/tests/proxy/host_fixture.h
+++ b/tests/proxy/host_fixture.h
@@ -85,6 +85,10 @@
     void read_hosts(handler<hosts_reading> done) override;
     void register_host(const host_record& record, handler<response_metadata> done) override;
 
+    void cancel_configuration_calls() override {}
+
+    void cancel_upstream_calls() override {}
+
     void stop() override {}
 
     std::optional<traffic_configuration> configuration;
--- a/tests/proxy/test_store_watch.cpp
+++ b/tests/proxy/test_store_watch.cpp
@@ -12,10 +12,18 @@
 /// Stores the handlers of calls, so that a test decides when to answer them.
 class manual_store_client : public store_client {
 public:
-    void read_configuration(handler<configuration_reading> done) override { configuration = std::move(done); }
+    void read_configuration(handler<configuration_reading> done) override
+    {
+        ++configuration_reads;
+        configuration_wait = milliseconds{0};
+        configuration = std::move(done);
+    }
 
-    void await_configuration(store_revision, std::chrono::milliseconds, handler<configuration_reading> done) override
+    void await_configuration(store_revision, std::chrono::milliseconds wait,
+                             handler<configuration_reading> done) override
     {
+        ++configuration_reads;
+        configuration_wait = wait;
         configuration = std::move(done);
     }
 
@@ -35,10 +43,17 @@
 
     void register_host(const host_record&, handler<response_metadata>) override {}
 
+    void cancel_configuration_calls() override { configuration = nullptr; }
+
+    void cancel_upstream_calls() override { upstreams = nullptr; }
+
     void stop() override {}
 
     handler<configuration_reading> configuration;
     handler<upstreams_reading> upstreams;
+    /// Time for which the store may delay its response to the last call for the configuration.
+    milliseconds configuration_wait{0};
+    int configuration_reads = 0;
     int full_reads = 0;
     int change_reads = 0;
 };
@@ -83,6 +98,37 @@
         done(upstreams_reading{make_metadata(revision), std::move(present), std::move(removed), {}});
     }
 
+    void fail_configuration()
+    {
+        const auto done = std::exchange(store.configuration, nullptr);
+        done(kernel::fail(proxy_event::store_unreachable));
+    }
+
+    void answer_configuration(std::uint64_t new_version)
+    {
+        traffic_configuration next;
+        next.version = kernel::version_number{new_version};
+        const auto done = std::exchange(store.configuration, nullptr);
+        done(configuration_reading{make_metadata(20), next});
+    }
+
+    [[nodiscard]] store_relay make_newer_relay(std::uint64_t newer_version) const
+    {
+        auto relay = make_relay(10, 10);
+        relay.version = kernel::version_number{newer_version};
+        return relay;
+    }
+
+    /// Runs the event loop until the condition holds; fails the test after 20 s.
+    void run_until(const std::function<bool()>& condition)
+    {
+        const auto limit = std::chrono::steady_clock::now() + seconds{20};
+        while (!condition() && std::chrono::steady_clock::now() < limit) {
+            context.run_one_for(milliseconds{50});
+        }
+        REQUIRE(condition());
+    }
+
     [[nodiscard]] store_relay make_relay(std::uint64_t after, std::uint64_t up_to) const
     {
         return {version,
@@ -213,9 +259,85 @@
     CHECK(store.configuration);
 }
 
-TEST_CASE("retry_backoff: consecutive failures: the delay doubles up to 1.2 s and is reset by a success")
+// Guards against an old version in force after the store's return (seen on both first sites): a host waited for the
+// timeout of a call that was sent during the outage, although the store reader already relayed a newer version.
+TEST_CASE_FIXTURE(watch_fixture, "store_watch: newer version relayed, own call unanswered: a new call replaces it once")
+{
+    store_reader = true;
+    watch->begin_reading();
+    store_reader = false;
+    const auto before = store.configuration_reads;
+    now += milliseconds{100};
+    watch->on_relay(make_newer_relay(6));
+    CHECK(store.configuration_reads == before);
+    now += milliseconds{600};
+    watch->on_relay(make_newer_relay(6));
+    CHECK(store.configuration_reads == before + 1);
+    now += milliseconds{600};
+    watch->on_relay(make_newer_relay(6));
+    CHECK(store.configuration_reads == before + 1);
+    watch->on_relay(make_newer_relay(7));
+    CHECK(store.configuration_reads == before + 2);
+    answer_configuration(7);
+    CHECK(version == kernel::version_number{7});
+}
+
+// Guards against an old version in force after the store's return: a host whose retry delay had passed waited for the
+// next relay, although it knew of a newer version.
+TEST_CASE_FIXTURE(watch_fixture, "store_watch: newer version relayed in the retry delay: is read when the delay ends")
+{
+    store_reader = true;
+    watch->begin_reading();
+    store_reader = false;
+    fail_configuration();
+    watch->on_relay(make_newer_relay(6));
+    const auto before = store.configuration_reads;
+    now += milliseconds{300};
+    run_until([&] { return store.configuration_reads > before; });
+    answer_configuration(6);
+    CHECK(version == kernel::version_number{6});
+}
+
+// Guards against an old version in force after the store's return: each unanswered call lasted for the time that the
+// store may wait for a change, too, and the delay after it grew to 1.2 s.
+TEST_CASE_FIXTURE(watch_fixture, "store_watch: calls fail: the next one asks for an answer at once")
+{
+    store_reader = true;
+    watch->begin_reading();
+    CHECK(store.configuration_wait > milliseconds{0});
+    fail_configuration();
+    run_until([&] { return store.configuration != nullptr; });
+    CHECK(store.configuration_wait == milliseconds{0});
+    answer_configuration(6);
+    CHECK(store.configuration_wait > milliseconds{0});
+}
+
+// Guards against a second failure after the store's return: a call for the upstreams that was sent during the outage
+// timed out seconds later.
+TEST_CASE_FIXTURE(watch_fixture,
+                  "store_watch: configuration read after failures: a pending call for upstreams is replaced")
+{
+    store_reader = true;
+    watch->begin_reading();
+    REQUIRE(store.upstreams);
+    fail_configuration();
+    run_until([&] { return store.configuration != nullptr; });
+    const auto before = store.change_reads;
+    answer_configuration(6);
+    CHECK(store.change_reads == before + 1);
+    CHECK(store.upstreams);
+}
+
+TEST_CASE("retry_backoff: consecutive failures: the delay doubles up to its maximum and is reset by a success")
 {
-    retry_backoff backoff;
+    retry_backoff short_backoff{milliseconds{600}};
+    CHECK(short_backoff.next_delay(test_start) == milliseconds{300});
+    CHECK(short_backoff.next_delay(test_start) == milliseconds{600});
+    CHECK(short_backoff.next_delay(test_start) == milliseconds{600});
+    CHECK(short_backoff.has_failed());
+    short_backoff.reset();
+    CHECK_FALSE(short_backoff.has_failed());
+    retry_backoff backoff{milliseconds{1200}};
     CHECK(backoff.next_delay(test_start) == milliseconds{300});
     CHECK(backoff.next_delay(test_start) == milliseconds{600});
     CHECK(backoff.next_delay(test_start) == milliseconds{1200});
--- a/tests/stand_ins/edge/store_stand_in.cpp
+++ b/tests/stand_ins/edge/store_stand_in.cpp
@@ -77,6 +77,7 @@
 void store_stand_in::handle(const session_pointer& session)
 {
     if (mode_ == store_mode::unresponsive) {
+        unanswered_.push_back(session);
         return;
     }
     if (mode_ == store_mode::overloaded) {
--- a/tests/stand_ins/edge/store_stand_in.h
+++ b/tests/stand_ins/edge/store_stand_in.h
@@ -65,6 +65,8 @@
     std::shared_ptr<proxy::caller_listener> listener_;
     std::map<std::string, std::map<std::string, row>> tables_;
     std::list<waiting_call> waiting_calls_;
+    /// Sessions whose calls get no response; a session closes its connection when it is destroyed.
+    std::list<std::shared_ptr<proxy::caller_session>> unanswered_;
     std::uint64_t revision_ = 1;
     /// Changes up to this revision are no longer known.
     std::uint64_t history_start_ = 0;
