--- a/tests/proxy/service_emulation.cpp
+++ b/tests/proxy/service_emulation.cpp
@@ -39,25 +39,9 @@
             host.directory.update(make_upstream(id.value(), data_centre, slots));
         }
     }
-    schedule(now_, [this] { start_request(); });
-    schedule(now_, [this] { observe(); });
-    schedule(now_, [this] { share_results(); });
-}
-
-void service_emulation::schedule(kernel::time_point due, std::function<void()> action)
-{
-    events_.push({due, ++order_, std::move(action)});
-}
-
-void service_emulation::run(seconds duration)
-{
-    const auto end = now_ + duration;
-    while (!events_.empty() && events_.top().due < end) {
-        const auto next = events_.top();
-        events_.pop();
-        now_ = next.due;
-        next.action();
-    }
+    events_.schedule(events_.now(), [this] { start_request(); });
+    events_.schedule(events_.now(), [this] { observe(); });
+    events_.schedule(events_.now(), [this] { share_results(); });
 }
 
 void service_emulation::start_request()
@@ -68,24 +52,25 @@
     send(std::move(request));
     const std::chrono::duration<double> interval{
         std::exponential_distribution<double>{options_.requests_per_second}(random_)};
-    schedule(now_ + std::chrono::duration_cast<kernel::duration>(interval), [this] { start_request(); });
+    events_.schedule(events_.now() + std::chrono::duration_cast<kernel::duration>(interval),
+                     [this] { start_request(); });
 }
 
 void service_emulation::send(emulated_request request)
 {
-    const auto chosen = request.host->balancer.choose(request.selection, now_);
+    const auto chosen = request.host->balancer.choose(request.selection, events_.now());
     if (!chosen) {
         end_request(request, false);
         return;
     }
     auto& upstream = **chosen;
-    upstream.in_flight.insert(now_);
-    upstream.last_request_at = now_;
+    upstream.in_flight.insert(events_.now());
+    upstream.last_request_at = events_.now();
     request.selection.excluded.insert(upstream.record.id);
     ++request.attempts;
     auto& emulated = upstreams_.at(upstream.record.id);
-    emulated.last_arrival = now_;
-    const bool in_outage = now_ >= emulated.outage_begin && now_ < emulated.outage_end;
+    emulated.last_arrival = events_.now();
+    const bool in_outage = events_.now() >= emulated.outage_begin && events_.now() < emulated.outage_end;
     const bool lost = emulated.mode == emulated_mode::losing_answers && random_fraction() < options_.loss_fraction;
     const std::chrono::duration<double> execution_time =
         options_.minimum_execution_time +
@@ -93,11 +78,12 @@
     const auto elapsed = in_outage ? time_to_reset : std::chrono::duration_cast<milliseconds>(execution_time);
     const auto outcome = in_outage || lost ? exchange_outcome::broken : exchange_outcome::good;
     if (in_outage) {
-        emulated.last_outage_failure = now_;
+        emulated.last_outage_failure = events_.now();
     }
-    schedule(now_ + elapsed, [this, request = std::move(request), id = emulated.id, sent = now_, outcome] {
-        end_exchange(request, id, sent, outcome);
-    });
+    events_.schedule(events_.now() + elapsed,
+                     [this, request = std::move(request), id = emulated.id, sent = events_.now(), outcome] {
+                         end_exchange(request, id, sent, outcome);
+                     });
 }
 
 void service_emulation::end_exchange(emulated_request request, const kernel::upstream_name& id, kernel::time_point sent,
@@ -106,13 +92,13 @@
     auto& upstream = *request.host->directory.find(id);
     upstream.in_flight.erase(upstream.in_flight.find(sent));
     if (outcome == exchange_outcome::good) {
-        upstream.latency = now_ - sent;
-        upstream.health.record(outcome, now_);
+        upstream.latency = events_.now() - sent;
+        upstream.health.record(outcome, events_.now());
         end_request(request, true);
         return;
     }
     for (auto& host : hosts_) {
-        host.directory.find(id)->health.record(outcome, now_);
+        host.directory.find(id)->health.record(outcome, events_.now());
     }
     if (request.selection.repeatable && request.attempts < maximum_attempts) {
         send(std::move(request));
@@ -123,18 +109,18 @@
 
 void service_emulation::end_request(const emulated_request& request, bool served)
 {
-    request.host->results.record(service, served ? request_result::served : request_result::unserved, now_);
-    ended_.push_back({now_, served});
+    request.host->results.record(service, served ? request_result::served : request_result::unserved, events_.now());
+    ended_.push_back({events_.now(), served});
 }
 
 void service_emulation::share_results()
 {
-    schedule(now_ + report_interval, [this] { share_results(); });
+    events_.schedule(events_.now() + report_interval, [this] { share_results(); });
     for (std::size_t from = 0; from < hosts_.size(); ++from) {
-        const auto report = hosts_[from].results.local_report(now_);
+        const auto report = hosts_[from].results.local_report(events_.now());
         for (std::size_t to = 0; to < hosts_.size(); ++to) {
             if (to != from) {
-                hosts_[to].results.record_remote(kernel::host_name{std::to_string(from)}, report, now_);
+                hosts_[to].results.record_remote(kernel::host_name{std::to_string(from)}, report, events_.now());
             }
         }
     }
@@ -142,20 +128,20 @@
 
 void service_emulation::observe()
 {
-    schedule(now_ + observation_interval, [this] { observe(); });
-    while (!ended_.empty() && now_ - ended_.front().ended_at > window_length) {
+    events_.schedule(events_.now() + observation_interval, [this] { observe(); });
+    while (!ended_.empty() && events_.now() - ended_.front().ended_at > window_length) {
         ended_.pop_front();
     }
-    if (now_ - test_start < warm_up) {
+    if (events_.now() - test_start < warm_up) {
         return;
     }
     observed_window window;
-    window.end = now_;
+    window.end = events_.now();
     for (const auto& [id, upstream] : upstreams_) {
-        const bool was_healthy = now_ - upstream.last_outage_failure > recovery_time + window_length;
+        const bool was_healthy = events_.now() - upstream.last_outage_failure > recovery_time + window_length;
         if (upstream.mode == emulated_mode::healthy && was_healthy) {
             ++window.healthy;
-            window.used += now_ - upstream.last_arrival <= window_length ? 1 : 0;
+            window.used += events_.now() - upstream.last_arrival <= window_length ? 1 : 0;
         }
     }
     window.requests = ended_.size();
@@ -170,9 +156,9 @@
         return;
     }
     const std::chrono::duration<double> delay = random_fraction() * 2 * options_.mean_time_between_outages;
-    upstream.outage_begin = now_ + std::chrono::duration_cast<kernel::duration>(delay);
+    upstream.outage_begin = events_.now() + std::chrono::duration_cast<kernel::duration>(delay);
     upstream.outage_end = upstream.outage_begin + options_.outage_length;
-    schedule(upstream.outage_end, [this, &upstream] { schedule_outage(upstream); });
+    events_.schedule(upstream.outage_end, [this, &upstream] { schedule_outage(upstream); });
 }
 
 } // namespace wisterialane::proxy
--- a/tests/proxy/service_emulation.h
+++ b/tests/proxy/service_emulation.h
@@ -1,12 +1,10 @@
 #pragma once
 
 #include "tests/proxy/proxy_fixture.h"
+#include "tests/proxy/virtual_event_queue.h"
 
-#include <cstdint>
 #include <deque>
-#include <functional>
 #include <map>
-#include <queue>
 #include <random>
 #include <string>
 #include <vector>
@@ -60,7 +58,7 @@
 public:
     explicit service_emulation(const emulation_options& options);
 
-    void run(seconds duration);
+    void run(seconds duration) { events_.run(duration); }
 
     /// Windows of two seconds, one per quarter of a second, after the warm-up.
     [[nodiscard]] const std::vector<observed_window>& windows() const { return windows_; }
@@ -95,15 +93,6 @@
         bool served = false;
     };
 
-    struct event {
-        kernel::time_point due;
-        std::uint64_t order = 0;
-        std::function<void()> action;
-
-        bool operator>(const event& other) const { return std::tie(due, order) > std::tie(other.due, other.order); }
-    };
-
-    void schedule(kernel::time_point due, std::function<void()> action);
     void start_request();
     void send(emulated_request request);
     void end_exchange(emulated_request request, const kernel::upstream_name& id, kernel::time_point sent,
@@ -117,13 +106,11 @@
 
     emulation_options options_;
     std::mt19937 random_;
-    kernel::time_point now_ = test_start;
     std::deque<emulated_host> hosts_;
     std::map<kernel::upstream_name, emulated_upstream> upstreams_;
     std::deque<ended_request> ended_;
     std::vector<observed_window> windows_;
-    std::priority_queue<event, std::vector<event>, std::greater<>> events_;
-    std::uint64_t order_ = 0;
+    virtual_event_queue events_;
 };
 
 } // namespace wisterialane::proxy
