Load balancer, request queue: Keep the queues of an overloaded service's upstreams short over all hosts

They were routed at once; they have about a second and ended 504, after waiting at an upstream.

Cause: each host bounded its own requests at an upstream (slots and half as many more), whatever the other hosts had there. Four to six hosts that take callers filled the upstreams that still answered; requests with several seconds were served late, those with one second never. Work that could not be answered in time was still queued and sent. Class: a limit of the whole service kept by local views.

Ruled out: not in force (no 404 on these routes, `route=` is logged from the first one on); waiting at hosts (these requests were sent at once and ended at the upstream after 0.6 to 0.9 s); failing upstreams alone (63 of 437 ended 502, 359 ended 504).

Change: hosts report the demand for each service (usual latency of each arrived request of 3 s) with their results. A host may have as many requests in flight at the trusted upstreams as its part of the demand of (slots, and 0.3 s of queue), and one more, two at least. The others wait in the host's own queue, which knows priorities, customers and deadlines: a request behind others is refused unless a response is expected within half of its time, and leaves the queue when an upstream would not have half of the usual latency. Upstreams on trial keep their own limit of one request and are tried also when the limit is reached. One place decides between an upstream's error response and a refusal.

With requests at suspected upstreams counted, with the slots of upstreams on trial counted, and with the queue's old bound, 1, 1 and 2 cases fail.

--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -26,6 +26,11 @@
 /// An upstream that received a request within this time counts as used in `service_summary`.
 constexpr std::chrono::seconds recent_use_window{2};
 
+/// A host may have this many requests in flight at a service, however few of its callers use it.
+constexpr std::size_t minimum_service_limit = 2;
+/// Mean time for which requests may wait in the upstreams' queues. Callers with a second left still get a response.
+constexpr seconds upstream_queue_time{0.3};
+
 /// Limit of this host's requests in flight at one upstream: its slots, and half as many in its queue.
 std::size_t request_limit(const tracked_upstream& upstream)
 {
@@ -151,6 +156,10 @@
         if (state == trust::suspected && released.contains(upstream->record.id)) {
             state = trust::trial;
         }
+        if (state == trust::trusted) {
+            lists.trusted_in_flight += upstream->in_flight.size();
+            lists.trusted_slots += upstream->record.slots;
+        }
         const auto limit = state == trust::trial ? 1 : request_limit(*upstream);
         if (upstream->in_flight.size() >= limit) {
             lists.some_at_limit = lists.some_at_limit || state != trust::suspected;
@@ -163,6 +172,21 @@
     return lists;
 }
 
+// Requests in an upstream's queue delay all later ones, also those of other hosts and those with little time left. All
+// hosts together therefore keep these queues short: each host uses the part of the service that corresponds to its
+// callers' requests, and the others wait in its own queue, which is ordered by priority. One request more per host
+// keeps slots in use while the shares change. Upstreams on trial do not count: they have a limit of their own.
+bool load_balancer::is_at_service_limit(const kernel::service_name& service, const candidate_lists& candidates,
+                                        kernel::duration mean_latency, kernel::time_point now) const
+{
+    if (candidates.trusted_in_flight < minimum_service_limit) {
+        return false;
+    }
+    const double capacity = candidates.trusted_slots * (1 + upstream_queue_time / seconds{mean_latency});
+    const double share = results_.local_share(service, now);
+    return static_cast<double>(candidates.trusted_in_flight) >= share * capacity + 1;
+}
+
 tl::expected<tracked_upstream*, selection_error> load_balancer::choose(const selection_request& request,
                                                                        kernel::time_point now)
 {
@@ -182,6 +206,9 @@
     if (may_be_trial && !candidates.on_trial.empty()) {
         return cheapest(candidates.on_trial);
     }
+    if (!candidates.trusted.empty() && is_at_service_limit(request.service, candidates, mean_latency, now)) {
+        return tl::unexpected{selection_error::all_at_limit};
+    }
     candidates.trusted.insert(candidates.trusted.end(), candidates.on_trial.begin(), candidates.on_trial.end());
     if (auto* chosen = cheapest_local(candidates.trusted)) {
         return chosen;
--- a/libraries/proxy/load_balancer.h
+++ b/libraries/proxy/load_balancer.h
@@ -18,7 +18,7 @@
 enum class selection_error {
     /// The service has no upstreams, or the request was sent to all of them.
     none_available,
-    /// This host has as many requests in flight at each upstream as it may have.
+    /// This host has as many requests in flight at each upstream, or at the service, as it may have.
     all_at_limit,
 };
 
@@ -78,10 +78,16 @@
         std::vector<candidate> suspected;
         /// An upstream that is trusted or on trial has as many requests of this host as it may have.
         bool some_at_limit = false;
+        /// Slots of all trusted upstreams.
+        unsigned trusted_slots = 0;
+        /// Requests of this host in flight at all trusted upstreams.
+        std::size_t trusted_in_flight = 0;
     };
 
     [[nodiscard]] candidate_lists classify(const std::vector<tracked_upstream*>& upstreams,
                                            kernel::duration mean_latency, bool strained, kernel::time_point now) const;
+    [[nodiscard]] bool is_at_service_limit(const kernel::service_name& service, const candidate_lists& candidates,
+                                           kernel::duration mean_latency, kernel::time_point now) const;
     [[nodiscard]] static std::set<kernel::upstream_name>
     released_early(const std::vector<tracked_upstream*>& upstreams, double ejected_fraction, kernel::time_point now);
     [[nodiscard]] static tracked_upstream* least_suspected(const std::vector<candidate>& candidates,
--- a/libraries/proxy/peer_message.cpp
+++ b/libraries/proxy/peer_message.cpp
@@ -72,7 +72,7 @@
 {
     nlohmann::json document = nlohmann::json::object();
     for (const auto& [service, counts] : results) {
-        document[service.value()] = {counts.served, counts.unserved};
+        document[service.value()] = {counts.served, counts.unserved, counts.demand_ms};
     }
     return document;
 }
@@ -81,7 +81,11 @@
 {
     service_counts results;
     for (const auto& [service, counts] : from.items()) {
-        results[kernel::service_name{service}] = {counts.at(0).get<std::uint64_t>(), counts.at(1).get<std::uint64_t>()};
+        auto& result = results[kernel::service_name{service}];
+        result.served = counts.at(0).get<std::uint64_t>();
+        result.unserved = counts.at(1).get<std::uint64_t>();
+        // Hosts of an earlier release do not report the demand.
+        result.demand_ms = counts.size() > 2 ? counts.at(2).get<std::uint64_t>() : 0;
     }
     return results;
 }
--- a/libraries/proxy/request_handler.cpp
+++ b/libraries/proxy/request_handler.cpp
@@ -58,7 +58,8 @@
 
 request_handler::request_handler(request_environment& environment, std::shared_ptr<caller_session> session)
     : environment_{environment}, session_{std::move(session)}, received_at_{session_->received_at()},
-      deadline_timer_{environment.context.get_executor()}, hedge_timer_{environment.context.get_executor()}
+      deadline_timer_{environment.context.get_executor()}, hedge_timer_{environment.context.get_executor()},
+      queue_timer_{environment.context.get_executor()}
 {
     environment_.active_requests.insert(this);
 }
@@ -83,6 +84,7 @@
     });
     start_deadline_timer();
     environment_.retry_budget.record_request(service_, now);
+    environment_.results.record_demand(service_, environment_.balancer.service_latency(service_), now);
     dispatch();
 }
 
@@ -211,38 +213,43 @@
         return;
     }
     if (chosen.error() == selection_error::none_available) {
-        if (fallback_response_) {
-            deliver(std::move(*fallback_response_));
-            return;
-        }
-        refuse({failure_status(), "no_upstream", overload_retry_after});
+        end_unserved({failure_status(), "no_upstream", overload_retry_after});
         return;
     }
     enqueue(now);
 }
 
-// Queues the request, or refuses it at once if it cannot be served before its deadline, because a later response has no
-// use.
+// Queues the request, or refuses it at once if no response in time can be expected.
 void request_handler::enqueue(kernel::time_point now)
 {
-    const auto usual = environment_.balancer.service_latency(service_);
     const int customer_priority = customer_ == nullptr ? 0 : customer_->priority;
-    const auto ahead = queue().count_ahead_of(customer_priority, route_->priority);
-    std::size_t in_flight_count = 0;
+    queue_state state;
+    state.usual_latency = environment_.balancer.service_latency(service_);
+    state.ahead = queue().count_ahead_of(customer_priority, route_->priority);
     for (const auto* candidate : environment_.upstreams.of_service(service_)) {
-        in_flight_count += candidate->in_flight.size();
+        state.in_flight += candidate->in_flight.size();
     }
-    const auto wait = usual * static_cast<std::int64_t>(ahead + 1) /
-                      static_cast<std::int64_t>(std::max<std::size_t>(1, in_flight_count));
-    if (now + wait > response_deadline_ - usual) {
-        refuse({failure_status(), "overloaded", std::max<kernel::duration>(wait, overload_retry_after)});
+    if (!should_wait(state, response_deadline_ - now)) {
+        const auto retry_after = std::max<kernel::duration>(expected_wait(state), overload_retry_after);
+        end_unserved({failure_status(), "overloaded", retry_after});
         return;
     }
     queued_at_ = now;
+    start_queue_timer(now, state.usual_latency);
     ticket_ = queue().push({customer_priority, route_->priority, customer_name(),
                             [self = shared_from_this()] { return self->dispatch_from_queue(); }});
 }
 
+void request_handler::start_queue_timer(kernel::time_point now, kernel::duration usual_latency)
+{
+    queue_timer_.expires_after(response_deadline_ - minimum_dispatch_time(usual_latency) - now);
+    queue_timer_.async_wait([self = shared_from_this()](error_code cancelled) {
+        if (!cancelled && !self->ended_ && self->ticket_) {
+            self->end_unserved({self->failure_status(), "overloaded", overload_retry_after});
+        }
+    });
+}
+
 // Returns whether the request has left the queue.
 bool request_handler::dispatch_from_queue()
 {
@@ -255,12 +262,13 @@
         return false;
     }
     ticket_.reset();
+    queue_timer_.cancel();
     environment_.metrics.record_queue_time(now - *queued_at_);
     if (chosen) {
         send_to(**chosen, now);
         return true;
     }
-    refuse({failure_status(), "no_upstream", overload_retry_after});
+    end_unserved({failure_status(), "no_upstream", overload_retry_after});
     return true;
 }
 
@@ -475,30 +483,32 @@
     if (!attempts_.empty()) {
         return;
     }
-    if (fallback_response_) {
-        deliver(std::move(*fallback_response_));
-        return;
-    }
     if (plan_.may_have_run()) {
-        refuse({502, "upstream_failed", std::nullopt});
+        end_unserved({502, "upstream_failed", std::nullopt});
         return;
     }
-    refuse({503, outcome == exchange_outcome::shed ? "upstreams_full" : "unreachable", overload_retry_after});
+    end_unserved({503, outcome == exchange_outcome::shed ? "upstreams_full" : "unreachable", overload_retry_after});
 }
 
 void request_handler::on_deadline()
 {
     const bool waiting = ticket_.has_value();
     cancel_attempts(exchange_outcome::timed_out);
-    if (fallback_response_) {
-        deliver(std::move(*fallback_response_));
+    if (plan_.may_have_run()) {
+        end_unserved({504, "deadline", std::nullopt});
         return;
     }
-    if (!plan_.may_have_run()) {
-        refuse({503, waiting ? "overloaded" : "unreachable", overload_retry_after});
+    end_unserved({503, waiting ? "overloaded" : "unreachable", overload_retry_after});
+}
+
+// Ends a request that no upstream has served: with the error response of an upstream, if there is one.
+void request_handler::end_unserved(const refusal& cause)
+{
+    if (fallback_response_) {
+        deliver(std::move(*fallback_response_));
         return;
     }
-    refuse({504, "deadline", std::nullopt});
+    refuse(cause);
 }
 
 void request_handler::expire()
@@ -611,6 +621,7 @@
     leave_queue();
     deadline_timer_.cancel();
     hedge_timer_.cancel();
+    queue_timer_.cancel();
     const auto now = environment_.clock();
     if (!service_.value().empty()) {
         const auto unserved = outcome == caller_disconnected ? request_result::disconnected : request_result::unserved;
--- a/libraries/proxy/request_handler.h
+++ b/libraries/proxy/request_handler.h
@@ -56,6 +56,7 @@
 
     void dispatch();
     void enqueue(kernel::time_point now);
+    void start_queue_timer(kernel::time_point now, kernel::duration usual_latency);
     bool dispatch_from_queue();
     void leave_queue();
     void send_to(tracked_upstream& chosen, kernel::time_point now);
@@ -76,6 +77,7 @@
     void on_caller_disconnect();
     void cancel_attempts(exchange_outcome evidence);
     void deliver(upstream_response from_upstream);
+    void end_unserved(const refusal& cause);
     void refuse(const refusal& cause);
     void finish(std::string_view outcome);
 
@@ -112,6 +114,7 @@
     std::optional<kernel::time_point> queued_at_;
     timer deadline_timer_;
     timer hedge_timer_;
+    timer queue_timer_;
     bool ended_ = false;
 };
 
--- a/libraries/proxy/request_queue.cpp
+++ b/libraries/proxy/request_queue.cpp
@@ -3,6 +3,34 @@
 #include <algorithm>
 
 namespace wisterialane::proxy {
+namespace {
+
+/// A request waits behind others only if a response is expected within this part of its remaining time.
+constexpr int queued_time_divisor = 2;
+/// Part of the usual latency that an upstream needs at least for a response.
+constexpr int minimum_latency_divisor = 2;
+
+} // namespace
+
+kernel::duration expected_wait(const queue_state& state)
+{
+    return state.usual_latency * static_cast<std::int64_t>(state.ahead + 1) /
+           static_cast<std::int64_t>(std::max<std::size_t>(1, state.in_flight));
+}
+
+bool should_wait(const queue_state& state, kernel::duration remaining)
+{
+    const auto wait = expected_wait(state);
+    if (state.ahead == 0) {
+        return wait + minimum_dispatch_time(state.usual_latency) <= remaining;
+    }
+    return wait + state.usual_latency <= remaining / queued_time_divisor;
+}
+
+kernel::duration minimum_dispatch_time(kernel::duration usual_latency)
+{
+    return usual_latency / minimum_latency_divisor;
+}
 
 queue_ticket request_queue::push(queued_request request)
 {
--- a/libraries/proxy/request_queue.h
+++ b/libraries/proxy/request_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kernel/clock.h"
 #include "kernel/identifiers.h"
 
 #include <cstddef>
@@ -24,6 +25,27 @@
     std::function<bool()> try_dispatch;
 };
 
+/// The state of a host's queue at the arrival of a request.
+struct queue_state {
+    /// Usual latency of the service, including the wait in its upstreams' queues.
+    kernel::duration usual_latency{};
+    /// Waiting requests that are dispatched before the new one.
+    std::size_t ahead = 0;
+    /// Requests of this host in flight at the service.
+    std::size_t in_flight = 0;
+};
+
+/// Expected time until the request is dispatched.
+[[nodiscard]] kernel::duration expected_wait(const queue_state& state);
+
+/// Whether a request with this time until its deadline should wait, because a response in time can be expected. More
+/// urgent requests may overtake it meanwhile.
+[[nodiscard]] bool should_wait(const queue_state& state, kernel::duration remaining);
+
+/// A waiting request with less time until its deadline is not dispatched any more: a response in time is unlikely, and
+/// the slot is of more use to another request.
+[[nodiscard]] kernel::duration minimum_dispatch_time(kernel::duration usual_latency);
+
 /// Requests of one service that wait for a free slot: ordered by priority, and fair among customers of equal priority.
 ///
 /// Fairness is start-time fair queueing with equal cost: a request's tag is the greater of the queue's virtual time and
--- a/libraries/proxy/service_results.cpp
+++ b/libraries/proxy/service_results.cpp
@@ -24,6 +24,12 @@
     (result == request_result::served ? counters.served : counters.unserved).add(now);
 }
 
+void service_results::record_demand(const kernel::service_name& service, kernel::duration work, kernel::time_point now)
+{
+    const auto work_ms = std::chrono::duration_cast<std::chrono::milliseconds>(work).count();
+    local_counters_[service].demand_ms.add(now, static_cast<std::uint64_t>(work_ms));
+}
+
 void service_results::record_remote(const kernel::host_name& from, service_counts counts, kernel::time_point now)
 {
     auto& previous = remote_reports_[from];
@@ -32,6 +38,7 @@
         auto& sum = remote_totals_[service];
         sum.served += count.served;
         sum.unserved += count.unserved;
+        sum.demand_ms += count.demand_ms;
     }
     previous = {std::move(counts), now};
 }
@@ -42,6 +49,7 @@
         auto& sum = remote_totals_[service];
         sum.served -= count.served;
         sum.unserved -= count.unserved;
+        sum.demand_ms -= count.demand_ms;
     }
 }
 
@@ -62,7 +70,9 @@
     if (found == local_counters_.end()) {
         return {};
     }
-    return {found->second.served.count(now, window), found->second.unserved.count(now, window)};
+    const auto& counters = found->second;
+    return {counters.served.count(now, window), counters.unserved.count(now, window),
+            counters.demand_ms.count(now, window)};
 }
 
 service_counts service_results::local_report(kernel::time_point now) const
@@ -81,6 +91,16 @@
     return {found.begin(), found.end()};
 }
 
+double service_results::local_share(const kernel::service_name& service, kernel::time_point now) const
+{
+    const auto found = remote_totals_.find(service);
+    if (found == remote_totals_.end() || found->second.demand_ms == 0) {
+        return 1;
+    }
+    const auto local = static_cast<double>(local_counts(service, now).demand_ms);
+    return local / (local + static_cast<double>(found->second.demand_ms));
+}
+
 bool service_results::is_strained(const kernel::service_name& service, kernel::time_point now) const
 {
     auto counts = local_counts(service, now);
--- a/libraries/proxy/service_results.h
+++ b/libraries/proxy/service_results.h
@@ -21,13 +21,15 @@
 struct result_counts {
     std::uint64_t served = 0;
     std::uint64_t unserved = 0;
+    /// Work of the requests that have arrived, in milliseconds of an upstream's slot.
+    std::uint64_t demand_ms = 0;
 
     friend bool operator==(const result_counts&, const result_counts&) = default;
 };
 
 using service_counts = std::map<kernel::service_name, result_counts>;
 
-/// Results of each service's requests at this host, and at the other hosts as they report them.
+/// Demand and results of each service's requests at this host, and at the other hosts as they report them.
 ///
 /// Whether a service is short of healthy upstreams is decided over the callers of all hosts: a host whose own callers
 /// are served must not keep healthy upstreams ejected while callers of other hosts are unserved.
@@ -35,6 +37,10 @@
 public:
     void record(const kernel::service_name& service, request_result result, kernel::time_point now);
 
+    /// Records that a caller has sent a request that may be sent to an upstream. `work` is the time for which it is
+    /// expected to use a slot there.
+    void record_demand(const kernel::service_name& service, kernel::duration work, kernel::time_point now);
+
     /// Replaces the results that another host reported before.
     void record_remote(const kernel::host_name& from, service_counts counts, kernel::time_point now);
 
@@ -48,6 +54,9 @@
     /// requests.
     [[nodiscard]] service_counts local_report(kernel::time_point now) const;
 
+    /// This host's fraction of the service's demand at all hosts. 1 if no other host reports any.
+    [[nodiscard]] double local_share(const kernel::service_name& service, kernel::time_point now) const;
+
     /// Whether so many requests of the service are unserved that all upstreams that may be healthy are needed.
     [[nodiscard]] bool is_strained(const kernel::service_name& service, kernel::time_point now) const;
 
@@ -55,6 +64,7 @@
     struct service_counters {
         window_counter served;
         window_counter unserved;
+        window_counter demand_ms;
     };
 
     struct remote_report {
--- a/libraries/proxy/window_counter.h
+++ b/libraries/proxy/window_counter.h
@@ -7,17 +7,17 @@
 
 namespace wisterialane::proxy {
 
-/// Counts events over a sliding window of up to ten seconds, in intervals of one second.
+/// Counts events, or sums amounts, over a sliding window of up to ten seconds, in intervals of one second.
 class window_counter {
 public:
-    void add(kernel::time_point now)
+    void add(kernel::time_point now, std::uint64_t amount = 1)
     {
         const auto second = second_of(now);
         auto& current = intervals_[static_cast<std::size_t>(second) % intervals_.size()];
         if (current.second != second) {
             current = {second, 0};
         }
-        ++current.count;
+        current.count += amount;
     }
 
     /// Events of the last `span` seconds, including the current one. `span` is at most ten seconds.
--- a/tests/proxy/test_load_balancer.cpp
+++ b/tests/proxy/test_load_balancer.cpp
@@ -150,7 +150,7 @@
     CHECK(summary.stuck == 1);
     CHECK(summary.recently_used == 1);
     CHECK(summary.in_flight == 1);
-    CHECK(summary.results == result_counts{1, 2});
+    CHECK(summary.results == result_counts{1, 2, 0});
     CHECK(summary.strained);
 }
 
@@ -175,4 +175,112 @@
     CHECK(used.size() >= 14);
 }
 
+// Guards against queues at the upstreams of an overloaded service that all hosts fill together: each host bounded its
+// own requests at an upstream only.
+TEST_CASE_FIXTURE(balancer_fixture,
+                  "load_balancer: other hosts have most of the demand: this host uses its part of the service")
+{
+    add_upstreams(4);
+    for (const auto* id : {"here0", "here1", "here2", "here3"}) {
+        upstream_by_id(id).latency = seconds{1};
+    }
+    results.record_demand(request.service, seconds{1}, now);
+    results.record_remote(kernel::host_name{"other"}, {{request.service, {0, 0, 3000}}}, now);
+    // Eight slots and 0.3 s of queue are 10.4 requests; a quarter of them, and one more.
+    for (int count = 0; count < 4; ++count) {
+        const auto chosen = balancer.choose(request, now);
+        REQUIRE(chosen);
+        (*chosen)->in_flight.insert(now);
+    }
+    const auto refused = balancer.choose(request, now);
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error() == selection_error::all_at_limit);
+}
+
+// Guards against healthy upstreams without requests while requests of this host hang at a suspected one.
+TEST_CASE_FIXTURE(balancer_fixture,
+                  "load_balancer: requests hang at a suspected upstream: the healthy ones get this host's part")
+{
+    add_upstreams(5);
+    for (const auto* id : {"here0", "here1", "here2", "here3", "here4"}) {
+        upstream_by_id(id).latency = seconds{1};
+    }
+    upstream_by_id("here4").health.record(exchange_outcome::broken, now);
+    for (int count = 0; count < 3; ++count) {
+        upstream_by_id("here4").in_flight.insert(now);
+    }
+    results.record_demand(request.service, seconds{1}, now);
+    results.record_remote(kernel::host_name{"other"}, {{request.service, {0, 0, 3000}}}, now);
+    for (int count = 0; count < 4; ++count) {
+        const auto chosen = balancer.choose(request, now);
+        REQUIRE(chosen);
+        CHECK((*chosen)->record.id != kernel::upstream_name{"here4"});
+        (*chosen)->in_flight.insert(now);
+    }
+    CHECK_FALSE(balancer.choose(request, now));
+}
+
+// Guards against long queues at the last healthy upstreams of a service whose other upstreams are on trial: their slots
+// counted as usable, so that requests for them were sent to the healthy ones.
+TEST_CASE_FIXTURE(balancer_fixture, "load_balancer: upstreams on trial: their slots do not raise the limit")
+{
+    add_upstreams(4);
+    add_upstreams(8, "there");
+    for (int index = 0; index < 8; ++index) {
+        upstream_by_id("there" + std::to_string(index)).health.record(exchange_outcome::broken, now);
+    }
+    now += milliseconds{4500};
+    for (int index = 0; index < 4; ++index) {
+        upstream_by_id("here" + std::to_string(index)).latency = seconds{1};
+    }
+    results.record_demand(request.service, seconds{1}, now);
+    results.record_remote(kernel::host_name{"other"}, {{request.service, {0, 0, 1000}}}, now);
+    for (int count = 0; count < 24; ++count) {
+        if (const auto chosen = balancer.choose(request, now)) {
+            (*chosen)->in_flight.insert(now);
+        }
+    }
+    std::size_t in_flight = 0;
+    for (int index = 0; index < 4; ++index) {
+        in_flight += upstream_by_id("here" + std::to_string(index)).in_flight.size();
+    }
+    // Half of eight slots and 0.3 s of queue are 5.2 requests, and one more.
+    CHECK(in_flight == 7);
+}
+
+// Guards against upstreams that have recovered and get no trial, because the few healthy ones are at the limit.
+TEST_CASE_FIXTURE(balancer_fixture,
+                  "load_balancer: limit of the service reached, upstream on trial: a repeatable request is its trial")
+{
+    add_upstreams(4);
+    upstream_by_id("here3").health.record(exchange_outcome::broken, now);
+    now += milliseconds{4500};
+    for (const auto* id : {"here0", "here1", "here2"}) {
+        upstream_by_id(id).latency = seconds{1};
+        upstream_by_id(id).in_flight.insert(now);
+    }
+    results.record_demand(request.service, seconds{1}, now);
+    results.record_remote(kernel::host_name{"other"}, {{request.service, {0, 0, 9000}}}, now);
+    CHECK_FALSE(balancer.choose(request, now));
+    request.repeatable = true;
+    CHECK_FALSE(balancer.choose(request, now));
+    const auto trial = balancer.choose(request, now);
+    REQUIRE(trial);
+    CHECK((*trial)->record.id == kernel::upstream_name{"here3"});
+}
+
+// Guards against hosts with few callers that serve none of them.
+TEST_CASE_FIXTURE(balancer_fixture,
+                  "load_balancer: hardly any demand at this host: it still has two requests in flight")
+{
+    add_upstreams(4);
+    results.record_remote(kernel::host_name{"other"}, {{request.service, {0, 0, 1000000}}}, now);
+    for (int count = 0; count < 2; ++count) {
+        const auto chosen = balancer.choose(request, now);
+        REQUIRE(chosen);
+        (*chosen)->in_flight.insert(now);
+    }
+    CHECK_FALSE(balancer.choose(request, now));
+}
+
 } // namespace wisterialane::proxy
--- a/tests/proxy/test_platform_formats.cpp
+++ b/tests/proxy/test_platform_formats.cpp
@@ -6,7 +6,10 @@
 #include "platform/upstream_entry.h"
 #include "tests/proxy/proxy_fixture.h"
 
+#include <string>
+
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 namespace wisterialane::platform_adapter {
 namespace {
@@ -117,7 +120,7 @@
                                 {make_upstream("a", "z", 3)},
                                 {kernel::upstream_name{"gone"}}};
     message.levels = quota_levels{{kernel::customer_name{"c"}, 0.25}};
-    message.results = service_counts{{kernel::service_name{"archive"}, {5, 2}}};
+    message.results = service_counts{{kernel::service_name{"archive"}, {5, 2, 900}}};
     const auto decoded = decode_peer_message(encode(message));
     REQUIRE(decoded);
     CHECK(decoded->sender.peer_address == message.sender.peer_address);
@@ -133,6 +136,20 @@
     CHECK(decoded->levels == message.levels);
 }
 
+// Guards against messages of an earlier release that are dropped during an upgrade.
+TEST_CASE("decode_peer_message: results without demand: are read with a demand of zero")
+{
+    peer_message message;
+    message.results = service_counts{{kernel::service_name{"archive"}, {5, 2, 900}}};
+    auto document = nlohmann::json::from_cbor(encode(message));
+    document["results"]["archive"] = {5, 2};
+    std::string bytes;
+    nlohmann::json::to_cbor(document, bytes);
+    const auto decoded = decode_peer_message(bytes);
+    REQUIRE(decoded);
+    CHECK(decoded->results == service_counts{{kernel::service_name{"archive"}, {5, 2, 0}}});
+}
+
 TEST_CASE("decode_peer_message: any other bytes: fail")
 {
     CHECK_FALSE(decode_peer_message(""));
--- a/tests/proxy/test_service_results.cpp
+++ b/tests/proxy/test_service_results.cpp
@@ -19,15 +19,15 @@
         results.record(archive, request_result::served, test_start);
     }
     CHECK_FALSE(results.is_strained(archive, test_start));
-    results.record_remote(other, {{archive, {16, 4}}}, test_start);
+    results.record_remote(other, {{archive, {16, 4, 0}}}, test_start);
     CHECK(results.is_strained(archive, test_start));
 }
 
 TEST_CASE("service_results: later report of a host: replaces the earlier one")
 {
     service_results results;
-    results.record_remote(other, {{archive, {0, 10}}}, test_start);
-    results.record_remote(other, {{archive, {10, 0}}}, test_start);
+    results.record_remote(other, {{archive, {0, 10, 0}}}, test_start);
+    results.record_remote(other, {{archive, {10, 0, 0}}}, test_start);
     CHECK_FALSE(results.is_strained(archive, test_start));
 }
 
@@ -35,7 +35,7 @@
 TEST_CASE("service_results: host silent: its report expires")
 {
     service_results results;
-    results.record_remote(other, {{archive, {0, 10}}}, test_start);
+    results.record_remote(other, {{archive, {0, 10, 0}}}, test_start);
     results.expire(test_start + seconds{2});
     CHECK(results.is_strained(archive, test_start + seconds{2}));
     results.expire(test_start + seconds{3});
@@ -46,7 +46,7 @@
 {
     service_results results;
     results.record(archive, request_result::disconnected, test_start);
-    CHECK(results.local_counts(archive, test_start) == result_counts{0, 1});
+    CHECK(results.local_counts(archive, test_start) == result_counts{0, 1, 0});
 }
 
 TEST_CASE("service_results: many services: reports those with the most unserved requests")
@@ -61,4 +61,22 @@
     CHECK(report.contains(kernel::service_name{"service-77"}));
 }
 
+TEST_CASE("service_results: demand of two hosts: this host's share is its fraction of the sum")
+{
+    service_results results;
+    results.record_demand(archive, milliseconds{300}, test_start);
+    CHECK(results.local_share(archive, test_start) == doctest::Approx(1));
+    results.record_remote(other, {{archive, {0, 0, 900}}}, test_start);
+    CHECK(results.local_share(archive, test_start) == doctest::Approx(0.25));
+    results.expire(test_start + seconds{3});
+    CHECK(results.local_share(archive, test_start + seconds{2}) == doctest::Approx(1));
+}
+
+TEST_CASE("service_results: demand only: is reported")
+{
+    service_results results;
+    results.record_demand(archive, milliseconds{300}, test_start);
+    CHECK(results.local_report(test_start) == service_counts{{archive, {0, 0, 300}}});
+}
+
 } // namespace wisterialane::proxy
--- a/tests/proxy/test_traffic.cpp
+++ b/tests/proxy/test_traffic.cpp
@@ -169,4 +169,28 @@
     CHECK(dispatched_customers == "b");
 }
 
+// Guards against requests that wait until their deadline passes because a slow response was still expected in time.
+TEST_CASE("should_wait: others ahead: only if a response is expected within half of the remaining time")
+{
+    const queue_state state{milliseconds{400}, 3, 4};
+    CHECK(expected_wait(state) == milliseconds{400});
+    CHECK(should_wait(state, milliseconds{1600}));
+    CHECK_FALSE(should_wait(state, milliseconds{1590}));
+}
+
+// Guards against refusals of requests with little time left that are next: they take much less time than usual.
+TEST_CASE("should_wait: next in the queue: if an upstream has half of the usual latency after the wait")
+{
+    const queue_state state{milliseconds{800}, 0, 4};
+    CHECK(expected_wait(state) == milliseconds{200});
+    CHECK(minimum_dispatch_time(state.usual_latency) == milliseconds{400});
+    CHECK(should_wait(state, milliseconds{600}));
+    CHECK_FALSE(should_wait(state, milliseconds{590}));
+}
+
+TEST_CASE("expected_wait: nothing in flight: one usual latency for each request ahead and this one")
+{
+    CHECK(expected_wait({milliseconds{200}, 2, 0}) == milliseconds{600});
+}
+
 } // namespace wisterialane::proxy
