HTTP client: Keep a connection's buffers with the connection

A call that is cancelled closes its connection, but an operation that has ended already still runs its handler afterwards. The buffers and the parser belonged to the client, which by then used them for the next connection; a counter told old handlers from new ones. Now each connection owns the buffers that its operations access, and a handler runs only if its connection is still the one in use, so the counter is gone. Writing the request as text is a function of its own. No failure was seen; found by reading. Behaviour is the same.

--- a/libraries/proxy/http_client.cpp
+++ b/libraries/proxy/http_client.cpp
@@ -15,6 +15,19 @@
 constexpr std::chrono::milliseconds connect_timeout{500};
 constexpr std::chrono::milliseconds tcp_user_timeout{1500};
 
+std::string serialize(const client_request& request, const tcp::endpoint& server)
+{
+    std::string message = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + server.address().to_string() +
+                          ":" + std::to_string(server.port()) + "\r\n";
+    if (!request.body.empty()) {
+        message += "Content-Type: application/json\r\n";
+    }
+    if (request.method != "GET") {
+        message += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    }
+    return message + "\r\n" + request.body;
+}
+
 } // namespace
 
 http_client::http_client(io_context& context, tcp::endpoint server, kernel::clock_source clock)
@@ -29,12 +42,8 @@
 
 void http_client::cancel_calls()
 {
-    ++generation_;
     calls_.clear();
-    if (stream_) {
-        stream_->close();
-        stream_.reset();
-    }
+    close();
     running_ = false;
 }
 
@@ -50,17 +59,7 @@
         return;
     }
     running_ = true;
-    const auto& request = calls_.front().request;
-    outgoing_ = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + server_.address().to_string() + ":" +
-                std::to_string(server_.port()) + "\r\n";
-    if (!request.body.empty()) {
-        outgoing_ += "Content-Type: application/json\r\n";
-    }
-    if (request.method != "GET") {
-        outgoing_ += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
-    }
-    outgoing_ += "\r\n" + request.body;
-    if (stream_) {
+    if (connection_) {
         send();
     }
     else {
@@ -70,47 +69,57 @@
 
 void http_client::connect()
 {
-    stream_ = std::make_shared<tcp_stream>(context_.get_executor());
-    buffer_.clear();
-    stream_->expires_after(connect_timeout);
-    stream_->async_connect(server_, while_pending([](http_client& self) {
-                               set_connection_options(self.stream_->socket(), tcp_user_timeout);
-                               self.send();
-                           }));
+    connection_ = std::make_shared<connection>(context_);
+    auto& stream = connection_->stream;
+    stream.expires_after(connect_timeout);
+    stream.async_connect(server_, while_connected([](http_client& self) {
+                             set_connection_options(self.connection_->stream.socket(), tcp_user_timeout);
+                             self.send();
+                         }));
 }
 
 void http_client::send()
 {
+    const auto& request = calls_.front().request;
     sent_ = clock_();
-    stream_->expires_after(calls_.front().request.timeout);
-    boost::asio::async_write(*stream_, boost::asio::buffer(outgoing_),
-                             while_pending([](http_client& self) { self.receive(); }));
+    connection_->outgoing = serialize(request, server_);
+    connection_->stream.expires_after(request.timeout);
+    boost::asio::async_write(connection_->stream, boost::asio::buffer(connection_->outgoing),
+                             while_connected([](http_client& self) { self.receive(); }));
 }
 
 void http_client::receive()
 {
-    parser_ = std::make_unique<http::response_parser<http::string_body>>();
-    parser_->body_limit(maximum_response_bytes);
-    http::async_read(*stream_, buffer_, *parser_, while_pending([](http_client& self) { self.on_response(); }));
+    connection_->parser.emplace();
+    connection_->parser->body_limit(maximum_response_bytes);
+    http::async_read(connection_->stream, connection_->incoming, *connection_->parser,
+                     while_connected([](http_client& self) { self.on_response(); }));
 }
 
 void http_client::on_response()
 {
-    auto& message = parser_->get();
-    const bool reusable = parser_->keep_alive();
+    auto& message = connection_->parser->get();
     client_response response{message.result_int(), std::move(message.body()), sent_};
-    if (!reusable) {
-        stream_.reset();
+    if (connection_->parser->keep_alive()) {
+        connection_->stream.expires_never();
     }
     else {
-        stream_->expires_never();
+        close();
     }
     finish(std::move(response));
 }
 
+void http_client::close()
+{
+    if (connection_) {
+        connection_->stream.close();
+        connection_.reset();
+    }
+}
+
 void http_client::fail(error_code reason)
 {
-    stream_.reset();
+    close();
     finish(kernel::fail(proxy_event::store_unreachable, reason.message()));
 }
 
--- a/libraries/proxy/http_client.h
+++ b/libraries/proxy/http_client.h
@@ -3,10 +3,10 @@
 #include "kernel/failure.h"
 #include "libraries/proxy/network.h"
 
-#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -53,6 +53,18 @@
         completion_handler on_complete;
     };
 
+    using response_parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    /// A connection to the server, with the buffers that its operations access.
+    struct connection {
+        explicit connection(io_context& context) : stream{context.get_executor()} {}
+
+        tcp_stream stream;
+        std::string outgoing;
+        boost::beast::flat_buffer incoming;
+        std::optional<response_parser> parser;
+    };
+
     void start_next();
     void connect();
     void send();
@@ -60,15 +72,15 @@
     void on_response();
     void finish(kernel::result<client_response> outcome);
     void fail(error_code reason);
+    void close();
 
-    /// Wraps a handler of the connection, so that it runs only if the call that started it was not discarded. Keeps the
-    /// connection alive until then.
+    /// Wraps the handler of an operation on the connection, so that it runs only if that connection is still in use.
+    /// Keeps the connection and its buffers alive until the operation has ended.
     template <class Handler>
-    [[nodiscard]] auto while_pending(Handler next)
+    [[nodiscard]] auto while_connected(Handler next)
     {
-        return [self = shared_from_this(), stream = stream_, generation = generation_,
-                next = std::move(next)](error_code error, auto&&...) {
-            if (generation != self->generation_) {
+        return [self = shared_from_this(), used = connection_, next = std::move(next)](error_code error, auto&&...) {
+            if (used != self->connection_) {
                 return;
             }
             if (error) {
@@ -82,16 +94,11 @@
     io_context& context_;
     tcp::endpoint server_;
     kernel::clock_source clock_;
-    std::shared_ptr<tcp_stream> stream_;
-    boost::beast::flat_buffer buffer_;
-    std::unique_ptr<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
+    std::shared_ptr<connection> connection_;
     std::deque<pending_call> calls_;
-    std::string outgoing_;
     kernel::time_point sent_{};
     bool running_ = false;
     bool stopped_ = false;
-    /// Changes when the calls are discarded, so that handlers of the old connection do nothing.
-    std::uint64_t generation_ = 0;
 };
 
 } // namespace wisterialane::proxy
