--- a/libraries/proxy/request_handler.cpp
+++ b/libraries/proxy/request_handler.cpp
@@ -301,7 +301,7 @@
     attempt next{chosen.record.id,
                  std::make_shared<upstream_exchange>(environment_.context, environment_.connections, environment_.names,
                                                      environment_.clock),
-                 now};
+                 now, chosen.health.state(now)};
     chosen.in_flight.insert(now);
     chosen.last_request_at = now;
     plan_.record_start();
@@ -435,6 +435,7 @@
                            {{"request", request_id_},
                             {"route", route_->name.value()},
                             {"upstream", ended.upstream.value()},
+                            {"trust", std::string{to_name(ended.trust_at_start)}},
                             {"outcome", std::string{to_name(outcome)}},
                             {"end", std::string{to_name(result.end)}},
                             {"status", std::to_string(result.response.status)},
--- a/libraries/proxy/request_handler.h
+++ b/libraries/proxy/request_handler.h
@@ -33,6 +33,8 @@
         kernel::upstream_name upstream;
         std::shared_ptr<upstream_exchange> exchange;
         kernel::time_point sent_at;
+        /// Trust in the upstream when the request was sent.
+        trust trust_at_start = trust::trusted;
     };
 
     /// A response of this host itself, with its cause.
