Load balancer: Release upstreams that fail every trial last

Some upstreams close every connection at once, for as long as they are listed (i-5bf02b2661: 15 attempts from 0.5 to 19.6 s, all failed within 3 ms); each was released every 1.5 s again, and got a request at once because it had waited longest for one. The failures count as unserved requests, which lowers the limit to 0.3 and releases more of them.

Ruled out: trials after the ejection time (74 failures of 1612), trusted upstreams (380), slots used up (refused 0.03).

Change: an upstream that was ejected more than three times in a row, without a successful trial in between, is released early after all others.

--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace wisterialane::proxy {
 namespace {
@@ -31,6 +32,14 @@
 /// Mean time for which requests may wait in the upstreams' queues. Callers with a second left still get a response.
 constexpr seconds upstream_queue_time{0.3};
 
+/// An upstream that is ejected for more than this many times in a row is assumed to be unavailable.
+constexpr unsigned transient_ejection_count = 3;
+
+std::pair<bool, kernel::time_point> release_order(const upstream_health& health)
+{
+    return {health.ejection_count() > transient_ejection_count, health.suspected_since()};
+}
+
 /// Limit of this host's requests in flight at one upstream: its slots, and half as many in its queue.
 std::size_t request_limit(const tracked_upstream& upstream)
 {
@@ -97,7 +106,8 @@
 }
 
 // Suspected upstreams that go on trial before their ejection time ends, because too many of the service are suspected.
-// Those suspected for longest are released first.
+// Those suspected for longest are released first, because most failures are transient, and last those that are assumed
+// to be unavailable.
 std::set<kernel::upstream_name> load_balancer::released_early(const std::vector<tracked_upstream*>& upstreams,
                                                               double ejected_fraction, kernel::time_point now)
 {
@@ -111,7 +121,7 @@
         return released;
     }
     std::sort(suspected.begin(), suspected.end(), [](const auto* left, const auto* right) {
-        return left->health.suspected_since() < right->health.suspected_since();
+        return release_order(left->health) < release_order(right->health);
     });
     suspected.resize(suspected.size() - allowed);
     for (const auto* upstream : suspected) {
