--- a/tests/proxy/test_load_balancer.cpp
+++ b/tests/proxy/test_load_balancer.cpp
@@ -7,6 +7,22 @@
 #include <doctest/doctest.h>
 
 namespace wisterialane::proxy {
+namespace {
+
+/// Sends this many requests, none of which ends. Returns the upstreams that received them.
+std::set<kernel::upstream_name> send_requests(balancer_fixture& fixture, int count)
+{
+    std::set<kernel::upstream_name> used;
+    for (int sent = 0; sent < count; ++sent) {
+        const auto chosen = fixture.balancer.choose(fixture.request, fixture.now);
+        REQUIRE(chosen);
+        (*chosen)->in_flight.insert(fixture.now);
+        used.insert((*chosen)->record.id);
+    }
+    return used;
+}
+
+} // namespace
 
 // Guards against healthy upstreams that receive no requests while callers are refused: three of eight upstreams failed
 // once and were ejected for more than two seconds.
@@ -25,14 +41,7 @@
         }
     }
     now += milliseconds{1500};
-    std::set<kernel::upstream_name> used;
-    for (int count = 0; count < 8; ++count) {
-        const auto chosen = balancer.choose(request, now);
-        REQUIRE(chosen);
-        (*chosen)->in_flight.insert(now);
-        used.insert((*chosen)->record.id);
-    }
-    CHECK(used.size() >= 6);
+    CHECK(send_requests(*this, 8).size() >= 6);
 }
 
 // Guards against trials of failing upstreams, each of which costs a non-idempotent request, while the others can carry
@@ -69,13 +78,7 @@
         upstream_by_id(id).health.record(exchange_outcome::broken, now);
     }
     now += milliseconds{1500};
-    std::set<kernel::upstream_name> used;
-    for (int count = 0; count < 9; ++count) {
-        const auto chosen = balancer.choose(request, now);
-        REQUIRE(chosen);
-        (*chosen)->in_flight.insert(now);
-        used.insert((*chosen)->record.id);
-    }
+    const auto used = send_requests(*this, 9);
     CHECK(used.contains(kernel::upstream_name{"here4"}));
     CHECK(used.contains(kernel::upstream_name{"here5"}));
     // At most three of eight stay ejected.
