--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <tuple>
-#include <utility>
 
 namespace wisterialane::proxy {
 namespace {
@@ -35,9 +34,15 @@
 /// An upstream that is ejected for more than this many times in a row is assumed to be unavailable.
 constexpr unsigned transient_ejection_count = 3;
 
-std::pair<bool, kernel::time_point> release_order(const upstream_health& health)
+// Most failures are transient, so the upstreams that have been suspected for longest come first.
+bool should_be_released_before(const upstream_health& left, const upstream_health& right)
 {
-    return {health.ejection_count() > transient_ejection_count, health.suspected_since()};
+    const bool left_unavailable = left.ejection_count() > transient_ejection_count;
+    const bool right_unavailable = right.ejection_count() > transient_ejection_count;
+    if (left_unavailable != right_unavailable) {
+        return right_unavailable;
+    }
+    return left.suspected_since() < right.suspected_since();
 }
 
 /// Limit of this host's requests in flight at one upstream: its slots, and half as many in its queue.
@@ -106,8 +111,6 @@
 }
 
 // Suspected upstreams that go on trial before their ejection time ends, because too many of the service are suspected.
-// Those suspected for longest are released first, because most failures are transient, and last those that are assumed
-// to be unavailable.
 std::set<kernel::upstream_name> load_balancer::released_early(const std::vector<tracked_upstream*>& upstreams,
                                                               double ejected_fraction, kernel::time_point now)
 {
@@ -121,7 +124,7 @@
         return released;
     }
     std::sort(suspected.begin(), suspected.end(), [](const auto* left, const auto* right) {
-        return release_order(left->health) < release_order(right->health);
+        return should_be_released_before(left->health, right->health);
     });
     suspected.resize(suspected.size() - allowed);
     for (const auto* upstream : suspected) {
