Load balancer: Take back the later release of upstreams that fail every trial

Likely cause, not shown by a run: an upstream that failed four trials during a fault stays ejected for up to 10 s, and is no longer released early after the fault has ended.

A fix has to tell upstreams that are gone from upstreams whose fault may have ended.

--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -31,20 +31,6 @@
 /// Mean time for which requests may wait in the upstreams' queues. Callers with a second left still get a response.
 constexpr seconds upstream_queue_time{0.3};
 
-/// An upstream that is ejected for more than this many times in a row is assumed to be unavailable.
-constexpr unsigned transient_ejection_count = 3;
-
-// Most failures are transient, so the upstreams that have been suspected for longest come first.
-bool should_be_released_before(const upstream_health& left, const upstream_health& right)
-{
-    const bool left_unavailable = left.ejection_count() > transient_ejection_count;
-    const bool right_unavailable = right.ejection_count() > transient_ejection_count;
-    if (left_unavailable != right_unavailable) {
-        return right_unavailable;
-    }
-    return left.suspected_since() < right.suspected_since();
-}
-
 /// Limit of this host's requests in flight at one upstream: its slots, and half as many in its queue.
 std::size_t request_limit(const tracked_upstream& upstream)
 {
@@ -111,6 +97,7 @@
 }
 
 // Suspected upstreams that go on trial before their ejection time ends, because too many of the service are suspected.
+// Those suspected for longest are released first.
 std::set<kernel::upstream_name> load_balancer::released_early(const std::vector<tracked_upstream*>& upstreams,
                                                               double ejected_fraction, kernel::time_point now)
 {
@@ -124,7 +111,7 @@
         return released;
     }
     std::sort(suspected.begin(), suspected.end(), [](const auto* left, const auto* right) {
-        return should_be_released_before(left->health, right->health);
+        return left->health.suspected_since() < right->health.suspected_since();
     });
     suspected.resize(suspected.size() - allowed);
     for (const auto* upstream : suspected) {
--- a/libraries/proxy/upstream_health.cpp
+++ b/libraries/proxy/upstream_health.cpp
@@ -106,7 +106,6 @@
         if (had_trial) {
             suspected_ = false;
             suspicion_ = 0;
-            ejection_count_ = 0;
         }
         return;
     }
@@ -119,7 +118,6 @@
 {
     const bool recent = ejection_time_ > kernel::duration::zero() && now - suspected_until_ < ejection_reset_time;
     ejection_time_ = recent ? std::min(maximum_ejection_time, 2 * ejection_time_) : initial_ejection_time;
-    ejection_count_ = recent ? ejection_count_ + 1 : 1;
     suspected_ = true;
     suspected_until_ = now + ejection_time_;
 }
--- a/libraries/proxy/upstream_health.h
+++ b/libraries/proxy/upstream_health.h
@@ -52,9 +52,6 @@
 
     [[nodiscard]] double suspicion(kernel::time_point now) const;
 
-    /// Consecutive ejections, none of which ended with a successful trial.
-    [[nodiscard]] unsigned ejection_count() const { return ejection_count_; }
-
 private:
     void eject(kernel::time_point now);
 
@@ -63,7 +60,6 @@
     bool suspected_ = false;
     kernel::time_point suspected_until_{};
     kernel::duration ejection_time_{};
-    unsigned ejection_count_ = 0;
 };
 
 } // namespace wisterialane::proxy
