--- a/tests/proxy/overload_emulation.cpp
+++ b/tests/proxy/overload_emulation.cpp
@@ -1,5 +1,7 @@
 #include "tests/proxy/overload_emulation.h"
 
+#include "tests/proxy/result_reports.h"
+
 namespace wisterialane::proxy {
 namespace {
 
@@ -197,12 +199,7 @@
 {
     events_.schedule(events_.now() + report_interval, [this] { share_results(); });
     for (std::size_t from = 0; from < hosts_.size(); ++from) {
-        const auto report = hosts_[from].results.local_report(events_.now());
-        for (std::size_t to = 0; to < hosts_.size(); ++to) {
-            if (to != from) {
-                hosts_[to].results.record_remote(kernel::host_name{std::to_string(from)}, report, events_.now());
-            }
-        }
+        deliver_report(hosts_, from, events_.now());
         hosts_[from].queue.dispatch();
     }
 }
