Load balancer: Let the latency of an upstream without responses count less with time

Cause: an upstream whose smoothed latency was half as much again as the mean came last, and only an answer could correct that latency; it got no request that could have one.

Ruled out: slow upstreams (6 of the 65 pauses followed an answer slower than 1.5 s).

Change: the excess over the mean counts half after each two seconds without a response. service_unserved tells how many upstreams are avoided as slow.

--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -1,6 +1,7 @@
 #include "libraries/proxy/load_balancer.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace wisterialane::proxy {
@@ -18,6 +19,10 @@
 constexpr double busy_cost_factor = 4;
 constexpr double remote_cost_factor = 1.5;
 constexpr double warm_up_cost_factor = 2;
+/// An upstream whose latency exceeds the mean by more than this fraction of it is avoided as slow.
+constexpr double slow_excess = 0.5;
+/// The excess of an upstream's latency over the mean counts half after this time without a response.
+constexpr seconds latency_half_life{2};
 /// At most this fraction of a service's upstreams is ejected for longer than `minimum_ejection_time`: the others have
 /// to carry their load, and many failures at once suggest that the evidence is wrong rather than the upstreams.
 constexpr double maximum_ejected_fraction = 0.45;
@@ -54,12 +59,20 @@
     return upstream.health.state(now);
 }
 
+// An upstream that is avoided for its latency has no responses that could correct it, so an old latency counts less.
+bool load_balancer::is_slow(const tracked_upstream& upstream, kernel::duration mean_latency, kernel::time_point now)
+{
+    const seconds excess = upstream.latency - mean_latency;
+    const seconds age = now - upstream.last_response_at;
+    return excess * std::exp2(-age / latency_half_life) > slow_excess * seconds{mean_latency};
+}
+
 // Latency counts only for upstreams that are much slower than the mean, so that all others receive requests in turn and
 // this host has recent evidence on each. A strained service also needs its slow upstreams, so latency is ignored there.
 double load_balancer::cost_of(const tracked_upstream& upstream, kernel::duration mean_latency, bool strained,
                               kernel::time_point now) const
 {
-    const bool slow = !strained && upstream.latency > mean_latency + mean_latency / 2;
+    const bool slow = !strained && is_slow(upstream, mean_latency, now);
     const auto latency = slow ? upstream.latency : mean_latency;
     const double load = static_cast<double>(upstream.in_flight.size() + 1) / std::max(1U, upstream.record.slots);
     double cost = seconds{latency}.count() * (1 + load);
@@ -136,6 +149,7 @@
         summary.suspected += state == trust::suspected ? 1 : 0;
         summary.missing += upstream->missing ? 1 : 0;
         summary.stuck += is_stuck(*upstream, mean_latency, now) ? 1 : 0;
+        summary.slow += is_slow(*upstream, mean_latency, now) ? 1 : 0;
         summary.recently_used += now - upstream->last_request_at < recent_use_window ? 1 : 0;
         summary.in_flight += upstream->in_flight.size();
     }
--- a/libraries/proxy/load_balancer.h
+++ b/libraries/proxy/load_balancer.h
@@ -40,6 +40,8 @@
     std::size_t missing = 0;
     /// Upstreams with an exchange that takes several times the mean latency.
     std::size_t stuck = 0;
+    /// Upstreams that are avoided for their latency.
+    std::size_t slow = 0;
     /// Upstreams that received a request of this host in the last two seconds.
     std::size_t recently_used = 0;
     /// Requests of this host in flight at the service's upstreams.
@@ -96,6 +98,8 @@
                                  kernel::time_point now) const;
     [[nodiscard]] static bool is_stuck(const tracked_upstream& upstream, kernel::duration mean_latency,
                                        kernel::time_point now);
+    [[nodiscard]] static bool is_slow(const tracked_upstream& upstream, kernel::duration mean_latency,
+                                      kernel::time_point now);
     [[nodiscard]] static trust trust_of(const tracked_upstream& upstream, kernel::duration mean_latency,
                                         kernel::time_point now);
     [[nodiscard]] static tracked_upstream* cheapest(const std::vector<candidate>& candidates);
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -401,6 +401,7 @@
                                 {"suspected", std::to_string(summary.suspected)},
                                 {"missing", std::to_string(summary.missing)},
                                 {"stuck", std::to_string(summary.stuck)},
+                                {"slow", std::to_string(summary.slow)},
                                 {"used", std::to_string(summary.recently_used)},
                                 {"in_flight", std::to_string(summary.in_flight)},
                                 {"latency_ms", std::to_string(latency.count())}});
--- a/tests/proxy/overload_emulation.cpp
+++ b/tests/proxy/overload_emulation.cpp
@@ -182,6 +182,7 @@
         const auto known = tracked.latency > kernel::duration::zero() ? tracked.latency : elapsed;
         tracked.latency =
             std::chrono::duration_cast<kernel::duration>((1 - latency_smoothing) * known + latency_smoothing * elapsed);
+        tracked.last_response_at = events_.now();
         tracked.health.record(exchange_outcome::good, events_.now());
     }
     end(ended, served);
--- a/tests/proxy/service_emulation.cpp
+++ b/tests/proxy/service_emulation.cpp
@@ -97,6 +97,7 @@
     upstream.in_flight.erase(upstream.in_flight.find(sent));
     if (outcome == exchange_outcome::good) {
         upstream.latency = events_.now() - sent;
+        upstream.last_response_at = events_.now();
         upstream.health.record(outcome, events_.now());
         end_request(request, true);
         return;
--- a/tests/proxy/service_emulation.h
+++ b/tests/proxy/service_emulation.h
@@ -71,6 +71,7 @@
 
     /// Requests sent to upstreams, and those of them that failed, since the start.
     [[nodiscard]] std::size_t sent() const { return sent_; }
+
     [[nodiscard]] std::size_t failed() const { return failed_; }
 
 private:
--- a/tests/proxy/test_service_floor.cpp
+++ b/tests/proxy/test_service_floor.cpp
@@ -24,8 +24,8 @@
     }));
 }
 
-/// A service with as many upstreams and hosts as that of the incident, of which three tenths fail most of their requests
-/// at any time, each for twelve seconds.
+/// A service with as many upstreams and hosts as that of the incident, of which three tenths fail most of their
+/// requests at any time, each for twelve seconds.
 emulation_options upstreams_that_fail_by_turns(unsigned seed)
 {
     emulation_options options;
