Load balancer: Try a suspected upstream once for all hosts, within four seconds of each ejection

Ruled out: the strained bound (the failures come after the window has passed); evidence of few hosts is not ruled out as a further cause.

Change: ejections last four seconds, three for repeatable requests. The active hosts take turns of a quarter of a second to try an upstream, in an order that changes with each ejection, so that a host without callers, or one that cannot reach it, holds up nobody; standby hosts come last. A good answer on trial is reported to all hosts like a failure.

--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <tuple>
 
+#include <xxhash.h>
+
 namespace wisterialane::proxy {
 namespace {
 
@@ -28,6 +30,11 @@
 constexpr double maximum_ejected_fraction = 0.45;
 /// The same limit while callers are unserved: then every upstream that may be healthy is needed.
 constexpr double strained_maximum_ejected_fraction = 0.3;
+/// Turns after which a standby host may try a suspected upstream, because the active hosts do not.
+constexpr std::int64_t standby_turn = 8;
+/// Time between the hosts' turns to try a suspected upstream. If the first host sends no request or gets no response in
+/// this time, the next one may try as well.
+constexpr std::chrono::milliseconds trial_turn_time{250};
 /// An upstream that received a request within this time counts as used in `service_summary`.
 constexpr std::chrono::seconds recent_use_window{2};
 
@@ -158,17 +165,39 @@
     return summary;
 }
 
+// One trial serves all hosts, which report its result to each other, so they take turns: the first one as soon as the
+// upstream may be tried, each further one some time later. The order changes with each ejection, so that a host that
+// cannot reach the upstream is not always the first. Standby hosts come last.
+bool load_balancer::may_be_tried(const tracked_upstream& upstream, bool released,
+                                 const selection_state& selection) const
+{
+    const auto delay =
+        released ? minimum_ejection_time : (selection.is_repeatable_trial ? repeatable_trial_delay : trial_delay);
+    const auto turn = selection.now - upstream.health.suspected_since() - delay;
+    if (turn < kernel::duration::zero()) {
+        return false;
+    }
+    if (!active_position_) {
+        return turn >= standby_turn * trial_turn_time;
+    }
+    const auto& name = upstream.record.id.value();
+    const auto first = ::XXH64(name.data(), name.size(), upstream.health.ejections()) % active_position_->hosts;
+    const auto place = (active_position_->index + active_position_->hosts - first) % active_position_->hosts;
+    return turn >= static_cast<std::int64_t>(place) * trial_turn_time;
+}
+
 load_balancer::candidate_lists load_balancer::classify(const std::vector<tracked_upstream*>& upstreams,
-                                                       kernel::duration mean_latency, bool strained,
-                                                       kernel::time_point now) const
+                                                       const selection_state& selection) const
 {
     candidate_lists lists;
-    const auto released =
-        released_early(upstreams, strained ? strained_maximum_ejected_fraction : maximum_ejected_fraction, now);
+    const auto now = selection.now;
+    const auto released = released_early(
+        upstreams, selection.strained ? strained_maximum_ejected_fraction : maximum_ejected_fraction, now);
     for (auto* upstream : upstreams) {
-        auto state = trust_of(*upstream, mean_latency, now);
-        if (state == trust::suspected && released.contains(upstream->record.id)) {
-            state = trust::trial;
+        auto state = trust_of(*upstream, selection.mean_latency, now);
+        if (state != trust::trusted && upstream->health.state(now) != trust::trusted && !upstream->missing) {
+            state = may_be_tried(*upstream, released.contains(upstream->record.id), selection) ? trust::trial
+                                                                                               : trust::suspected;
         }
         if (state == trust::trusted) {
             lists.trusted_in_flight += upstream->in_flight.size();
@@ -181,7 +210,7 @@
         }
         auto& candidates =
             state == trust::trusted ? lists.trusted : (state == trust::trial ? lists.on_trial : lists.suspected);
-        candidates.push_back({upstream, cost_of(*upstream, mean_latency, strained, now)});
+        candidates.push_back({upstream, cost_of(*upstream, selection.mean_latency, selection.strained, now)});
     }
     return lists;
 }
@@ -207,7 +236,9 @@
     auto upstreams = directory_.of_service(request.service);
     std::erase_if(upstreams, [](const auto* upstream) { return upstream->draining; });
     const auto mean_latency = std::max(service_latency(request.service), kernel::duration{1});
-    auto candidates = classify(upstreams, mean_latency, results_.is_strained(request.service, now), now);
+    const bool is_repeatable_trial = request.repeatable && request.excluded.empty();
+    auto candidates =
+        classify(upstreams, {mean_latency, results_.is_strained(request.service, now), is_repeatable_trial, now});
     const auto is_excluded = [&request](const auto& entry) {
         return request.excluded.contains(entry.upstream->record.id);
     };
@@ -216,7 +247,7 @@
     std::erase_if(candidates.suspected, is_excluded);
     // A failed trial of a repeatable request costs its caller little. Only every second such request is a trial, so
     // that the trusted upstreams also receive requests.
-    const bool may_be_trial = request.repeatable && request.excluded.empty() && ++trial_candidates_ % 2 == 0;
+    const bool may_be_trial = is_repeatable_trial && ++trial_candidates_ % 2 == 0;
     if (may_be_trial && !candidates.on_trial.empty()) {
         return cheapest(candidates.on_trial);
     }
--- a/libraries/proxy/load_balancer.h
+++ b/libraries/proxy/load_balancer.h
@@ -2,11 +2,14 @@
 
 #include "kernel/clock.h"
 #include "kernel/identifiers.h"
+#include "libraries/proxy/active_position.h"
 #include "libraries/proxy/service_results.h"
 #include "libraries/proxy/traffic_configuration.h"
 #include "libraries/proxy/upstream_directory.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -59,6 +62,9 @@
         : directory_{directory}, results_{results}, local_data_centre_{std::move(local_data_centre)}
     {}
 
+    /// Sets this host's place among the active hosts; empty while it is on standby.
+    void set_active_position(std::optional<active_position> position) { active_position_ = position; }
+
     [[nodiscard]] tl::expected<tracked_upstream*, selection_error> choose(const selection_request& request,
                                                                           kernel::time_point now);
 
@@ -86,8 +92,19 @@
         std::size_t trusted_in_flight = 0;
     };
 
+    /// A request of one service at the time of its selection.
+    struct selection_state {
+        kernel::duration mean_latency{};
+        bool strained = false;
+        /// The request may be the trial of an upstream at no cost for its caller.
+        bool is_repeatable_trial = false;
+        kernel::time_point now;
+    };
+
     [[nodiscard]] candidate_lists classify(const std::vector<tracked_upstream*>& upstreams,
-                                           kernel::duration mean_latency, bool strained, kernel::time_point now) const;
+                                           const selection_state& selection) const;
+    [[nodiscard]] bool may_be_tried(const tracked_upstream& upstream, bool released,
+                                    const selection_state& selection) const;
     [[nodiscard]] bool is_at_service_limit(const kernel::service_name& service, const candidate_lists& candidates,
                                            kernel::duration mean_latency, kernel::time_point now) const;
     [[nodiscard]] static std::set<kernel::upstream_name>
@@ -108,6 +125,7 @@
     const upstream_directory& directory_;
     const service_results& results_;
     kernel::data_centre_name local_data_centre_;
+    std::optional<active_position> active_position_ = active_position{};
     /// Repeatable requests at their first attempt; every second one may go to an upstream on trial.
     std::uint64_t trial_candidates_ = 0;
 };
--- a/libraries/proxy/peer_directory.cpp
+++ b/libraries/proxy/peer_directory.cpp
@@ -133,6 +133,20 @@
     return std::find(active_hosts.begin(), active_hosts.end(), &options_.self) != active_hosts.end();
 }
 
+std::optional<active_position> peer_directory::position(kernel::time_point now) const
+{
+    std::vector<const host_record*> active_hosts;
+    for (const auto& data_centre : data_centres()) {
+        const auto active_there = active_hosts_in(data_centre, now);
+        active_hosts.insert(active_hosts.end(), active_there.begin(), active_there.end());
+    }
+    const auto self = std::find(active_hosts.begin(), active_hosts.end(), &options_.self);
+    if (self == active_hosts.end()) {
+        return std::nullopt;
+    }
+    return active_position{static_cast<std::size_t>(self - active_hosts.begin()), active_hosts.size()};
+}
+
 double peer_directory::demand_in(const kernel::data_centre_name& data_centre, kernel::time_point now) const
 {
     double demand = data_centre == options_.self.data_centre ? load_ * options_.self.processor_cores : 0;
--- a/libraries/proxy/peer_directory.h
+++ b/libraries/proxy/peer_directory.h
@@ -2,6 +2,7 @@
 
 #include "kernel/clock.h"
 #include "kernel/identifiers.h"
+#include "libraries/proxy/active_position.h"
 #include "libraries/proxy/customer_quota.h"
 #include "libraries/proxy/host_record.h"
 
@@ -91,6 +92,9 @@
     /// Whether this host is active.
     [[nodiscard]] bool is_active(kernel::time_point now) const;
 
+    /// This host's place among the active hosts of all data centres; empty while it is on standby.
+    [[nodiscard]] std::optional<active_position> position(kernel::time_point now) const;
+
     /// Number of active hosts in all data centres if all known hosts are live and ready. Hosts without received
     /// messages count as well, because a host that has just become active has received none from other data centres
     /// yet.
--- a/libraries/proxy/peer_message.h
+++ b/libraries/proxy/peer_message.h
@@ -14,7 +14,7 @@
 
 namespace wisterialane::proxy {
 
-/// A failed exchange with an upstream, reported to other hosts.
+/// An exchange with an upstream that failed or was its successful trial, reported to other hosts.
 struct shared_evidence {
     kernel::upstream_name upstream;
     exchange_outcome outcome = exchange_outcome::neutral;
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -99,9 +99,9 @@
             [this](auto now) { return is_store_reader(now); }, [this](auto relay) { send_relay(std::move(relay)); },
             environment_.clock});
     peer_channel_ = std::make_shared<peer_channel>(context, [this](const auto& message) { on_peer_message(message); });
-    environment_.share_evidence = [this](const shared_evidence& evidence) {
+    environment_.share_evidence = [this](const shared_evidence& evidence, trust trust_at_start) {
         const auto now = environment_.clock();
-        if (should_share_evidence(evidence.outcome, peers_.is_active(now))) {
+        if (should_share_evidence(evidence.outcome, trust_at_start, peers_.is_active(now))) {
             send_evidence(peers_.recipient_addresses(now), {evidence});
         }
     };
@@ -299,8 +299,9 @@
         if (auto* known = environment_.upstreams.find(evidence.upstream)) {
             const bool was_trusted = known->health.state(now) == trust::trusted;
             known->health.record(evidence.outcome, now);
-            if (was_trusted && known->health.state(now) != trust::trusted) {
-                environment_.log.write(now, line_priority::important, proxy_event::upstream_suspected,
+            if (const bool is_trusted = known->health.state(now) == trust::trusted; was_trusted != is_trusted) {
+                environment_.log.write(now, line_priority::important,
+                                       is_trusted ? proxy_event::upstream_trusted : proxy_event::upstream_suspected,
                                        {{"upstream", evidence.upstream.value()},
                                         {"service", known->record.service.value()},
                                         {"outcome", std::string{to_name(evidence.outcome)}},
@@ -468,6 +469,7 @@
     const bool discovering = is_discovering_peers(now);
     const auto expected = peers_.expected_active_hosts(now);
     const auto hosts = discovering ? std::max(expected, assumed_active_hosts) : expected;
+    environment_.balancer.set_active_position(peers_.position(now));
     environment_.quota.set_active_host_count(hosts, !discovering && !peers_.has_newly_silent_peer(now));
     const auto all = peers_.peers().size() + 1;
     environment_.retry_budget.set_slack_fraction(
--- a/libraries/proxy/request_handler.cpp
+++ b/libraries/proxy/request_handler.cpp
@@ -429,6 +429,7 @@
     }
     if (outcome == exchange_outcome::good) {
         environment_.quarantine.record_success(fingerprint_, now);
+        share_evidence(ended, outcome, result, now);
         return;
     }
     environment_.log.write(now, line_priority::important, proxy_event::attempt_failed,
@@ -452,7 +453,7 @@
         environment_.quarantine.record({fingerprint_, ended.upstream}, now);
     }
     if (environment_.share_evidence) {
-        environment_.share_evidence({ended.upstream, outcome, crashed ? fingerprint_ : 0});
+        environment_.share_evidence({ended.upstream, outcome, crashed ? fingerprint_ : 0}, ended.trust_at_start);
     }
 }
 
--- a/libraries/proxy/upstream_health.cpp
+++ b/libraries/proxy/upstream_health.cpp
@@ -17,10 +17,6 @@
 constexpr double shed_weight = 0.3;
 constexpr double good_weight = 1;
 constexpr seconds suspicion_half_life{4};
-constexpr kernel::duration initial_ejection_time = std::chrono::milliseconds{4000};
-constexpr kernel::duration maximum_ejection_time = std::chrono::seconds{10};
-/// When this time has passed since the last ejection, the next one lasts for the initial time again.
-constexpr kernel::duration ejection_reset_time = std::chrono::seconds{10};
 
 double weight_of(exchange_outcome outcome)
 {
@@ -64,13 +60,14 @@
     return "neutral";
 }
 
-bool should_share_evidence(exchange_outcome outcome, bool is_active_host)
+bool should_share_evidence(exchange_outcome outcome, trust trust_at_start, bool is_active_host)
 {
     switch (outcome) {
-    case exchange_outcome::good:
     case exchange_outcome::shed:
     case exchange_outcome::neutral:
         return false;
+    case exchange_outcome::good:
+        return trust_at_start != trust::trusted;
     case exchange_outcome::timed_out:
         return is_active_host;
     case exchange_outcome::error:
@@ -101,7 +98,7 @@
     }
     suspicion_ = std::clamp(suspicion(now) + weight_of(outcome), 0.0, maximum_suspicion);
     updated_ = now;
-    const bool had_trial = suspected_ && now - suspected_since() >= minimum_ejection_time;
+    const bool had_trial = suspected_ && now - suspected_since_ >= minimum_ejection_time;
     if (outcome == exchange_outcome::good) {
         if (had_trial) {
             suspected_ = false;
@@ -116,10 +113,9 @@
 
 void upstream_health::eject(kernel::time_point now)
 {
-    const bool recent = ejection_time_ > kernel::duration::zero() && now - suspected_until_ < ejection_reset_time;
-    ejection_time_ = recent ? std::min(maximum_ejection_time, 2 * ejection_time_) : initial_ejection_time;
     suspected_ = true;
-    suspected_until_ = now + ejection_time_;
+    suspected_since_ = now;
+    ++ejections_;
 }
 
 trust upstream_health::state(kernel::time_point now) const
@@ -127,7 +123,7 @@
     if (!suspected_) {
         return trust::trusted;
     }
-    return now < suspected_until_ ? trust::suspected : trust::trial;
+    return now - suspected_since_ < trial_delay ? trust::suspected : trust::trial;
 }
 
 double upstream_health::suspicion(kernel::time_point now) const
--- a/libraries/proxy/upstream_health.h
+++ b/libraries/proxy/upstream_health.h
@@ -2,6 +2,7 @@
 
 #include "kernel/clock.h"
 
+#include <cstddef>
 #include <string_view>
 
 namespace wisterialane::proxy {
@@ -24,23 +25,30 @@
 
 [[nodiscard]] std::string_view to_name(exchange_outcome outcome);
 
-/// Whether this host reports an outcome to the other hosts. A timeout may be the wait for a slot, which only an active
-/// host can tell: a standby host does not see the other requests of the upstream.
-[[nodiscard]] bool should_share_evidence(exchange_outcome outcome, bool is_active_host);
-
 /// State of a circuit breaker: closed, half open, open.
 enum class trust { trusted, trial, suspected };
 
 [[nodiscard]] std::string_view to_name(trust state);
 
+/// Whether this host reports an outcome to the other hosts. A timeout may be the wait for a slot, which only an active
+/// host can tell: a standby host does not see the other requests of the upstream. A good answer is reported if the
+/// upstream was not trusted when the request was sent: one trial then serves all hosts.
+[[nodiscard]] bool should_share_evidence(exchange_outcome outcome, trust trust_at_start, bool is_active_host);
+
 /// A suspected upstream gets no requests for at least this time.
 inline constexpr kernel::duration minimum_ejection_time = std::chrono::milliseconds{1500};
+/// Time from the ejection until a repeatable request may be the trial: if it fails, its caller is served by another
+/// upstream.
+inline constexpr kernel::duration repeatable_trial_delay = std::chrono::milliseconds{3000};
+/// Time from the ejection until any request may be the trial. An upstream that has recovered must not go without a
+/// request for long, so this time does not grow with the number of failed trials.
+inline constexpr kernel::duration trial_delay = std::chrono::milliseconds{4000};
 
 /// Circuit breaker of one upstream, with the evidence of this host and of the others.
 ///
 /// Each failure raises the suspicion by the weight of its kind, each good answer lowers it, and it decays with time.
-/// Above a threshold the upstream is suspected for an ejection time that doubles each time. After it, the upstream is
-/// on trial and receives one request at a time until one succeeds.
+/// Above a threshold the upstream is suspected for a fixed time. After it, the upstream is on trial and receives one
+/// request at a time until one succeeds.
 class upstream_health {
 public:
     void record(exchange_outcome outcome, kernel::time_point now);
@@ -48,7 +56,10 @@
     [[nodiscard]] trust state(kernel::time_point now) const;
 
     /// Start of the current ejection; meaningless while the upstream is trusted.
-    [[nodiscard]] kernel::time_point suspected_since() const { return suspected_until_ - ejection_time_; }
+    [[nodiscard]] kernel::time_point suspected_since() const { return suspected_since_; }
+
+    /// Number of ejections so far.
+    [[nodiscard]] std::size_t ejections() const { return ejections_; }
 
     [[nodiscard]] double suspicion(kernel::time_point now) const;
 
@@ -58,8 +69,8 @@
     double suspicion_ = 0;
     kernel::time_point updated_{};
     bool suspected_ = false;
-    kernel::time_point suspected_until_{};
-    kernel::duration ejection_time_{};
+    kernel::time_point suspected_since_{};
+    std::size_t ejections_ = 0;
 };
 
 } // namespace wisterialane::proxy
--- a/tests/proxy/service_emulation.h
+++ b/tests/proxy/service_emulation.h
@@ -97,6 +97,7 @@
         emulated_host* host = nullptr;
         selection_request selection;
         unsigned attempts = 0;
+        trust trust_at_start = trust::trusted;
     };
 
     struct ended_request {
@@ -108,6 +109,7 @@
     void send(emulated_request request);
     void end_exchange(emulated_request request, const kernel::upstream_name& id, kernel::time_point sent,
                       exchange_outcome outcome);
+    void share_evidence(const emulated_request& request, const kernel::upstream_name& id, exchange_outcome outcome);
     void end_request(const emulated_request& request, bool served);
     void share_results();
     void observe();
