--- a/libraries/proxy/wire_names.h
+++ b/libraries/proxy/wire_names.h
@@ -19,6 +19,10 @@
     std::string target_upstream;
     /// In a response: the upstream did not run the request.
     std::string not_executed;
+    /// In a response: the upstream is being taken out of service.
+    std::string leaving;
+    /// In a response: the requests per second that the upstream takes from all hosts together.
+    std::string rate_limit;
     /// In a response: the upstream's signature over it.
     std::string signature;
     /// Path at which callers request the addresses of hosts.
--- a/tests/proxy/host_fixture.cpp
+++ b/tests/proxy/host_fixture.cpp
@@ -60,6 +60,8 @@
     names.customer = "X-Customer";
     names.target_upstream = "X-Upstream";
     names.not_executed = "X-Not-Run";
+    names.leaving = "X-Leaving";
+    names.rate_limit = "X-Limit";
     names.signature = "X-Signature";
     names.address_path = "/addresses";
     names.data_centre_parameter = "dc";
@@ -298,16 +300,17 @@
     return count;
 }
 
-std::string signed_response(const http_request& request, const std::string& body, unsigned status)
+std::string signed_response(const http_request& request, const std::string& body, unsigned status,
+                            const std::string& more)
 {
     return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Request: " + std::string{request["X-Request"]} +
-           "\r\nX-Signature: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+           "\r\nX-Signature: s\r\n" + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-std::string not_executed_response(const http_request& request, unsigned status)
+std::string not_executed_response(const http_request& request, unsigned status, const std::string& more)
 {
     return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Request: " + std::string{request["X-Request"]} +
-           "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+           "\r\nX-Not-Run: 1\r\n" + more + "Content-Length: 0\r\n\r\n";
 }
 
 std::string get_request(const std::string& id, const std::string& more)
--- a/tests/proxy/host_fixture.h
+++ b/tests/proxy/host_fixture.h
@@ -126,11 +126,13 @@
     std::unique_ptr<proxy_host> host;
 };
 
-/// Returns an upstream's signed response to this request.
-[[nodiscard]] std::string signed_response(const http_request& request, const std::string& body, unsigned status = 200);
+/// Returns an upstream's signed response to this request; `more` holds further header lines, each with its line end.
+[[nodiscard]] std::string signed_response(const http_request& request, const std::string& body, unsigned status = 200,
+                                          const std::string& more = {});
 
 /// Returns an upstream's response that states that it did not execute this request.
-[[nodiscard]] std::string not_executed_response(const http_request& request, unsigned status = 503);
+[[nodiscard]] std::string not_executed_response(const http_request& request, unsigned status = 503,
+                                                const std::string& more = {});
 
 /// Returns a caller's request; `more` holds further header lines, each with its line end.
 [[nodiscard]] std::string get_request(const std::string& id, const std::string& more = {});
--- /dev/null
+++ b/tests/proxy/test_upstream_notices.cpp
@@ -0,0 +1,53 @@
+#include "tests/proxy/host_fixture.h"
+
+#include <doctest/doctest.h>
+
+namespace wisterialane::proxy {
+namespace {
+
+/// One host with two upstreams, of which the first says something of itself in its responses.
+struct notice_fixture : host_fixture {
+    std::string headers;
+    scripted_upstream& speaking =
+        add_upstream("u1", [this](const http_request& request) { return scripted_response{respond(request)}; });
+    scripted_upstream& silent = add_upstream(
+        "u2", [](const http_request& request) { return scripted_response{signed_response(request, "ok")}; });
+    bool refuses = false;
+
+    std::string respond(const http_request& request) const
+    {
+        return refuses ? not_executed_response(request, 503, headers) : signed_response(request, "ok", 200, headers);
+    }
+
+    /// Sends requests one after the other for this time; all must be served.
+    void call_for(std::chrono::milliseconds time)
+    {
+        const auto end = std::chrono::steady_clock::now() + time;
+        for (int count = 0; std::chrono::steady_clock::now() < end; ++count) {
+            REQUIRE(call(get_request("r" + std::to_string(count)))->status == 200);
+        }
+    }
+};
+
+} // namespace
+
+// Guards against a violation of LIMIT (seen on asiis-gw): an upstream in need named the requests per second that it
+// takes and received those of an upstream without a limit.
+TEST_CASE_FIXTURE(notice_fixture,
+                  "upstream notices: an upstream names a limit of one request a second: is sent at most "
+                  "that, until it names none" *
+                      doctest::may_fail())
+{
+    headers = "X-Limit: 1.0\r\n";
+    start();
+    call_for(std::chrono::milliseconds{200});
+    const auto told = speaking.received.size();
+    call_for(std::chrono::milliseconds{2500});
+    CHECK(speaking.received.size() - told <= 3);
+    CHECK(speaking.received.size() - told >= 2);
+    headers.clear();
+    call_for(std::chrono::milliseconds{1500});
+    CHECK(speaking.received.size() - told > 20);
+}
+
+} // namespace wisterialane::proxy
