Load balancer: Share the rate that an upstream in need names among all hosts

Cause: nothing read the header. Class: what an upstream says of itself was not heard.

Change: a host that reads a limit in a response reports it to the others, every two seconds while it lasts, and when it ends. The hosts need no messages to divide it: of an order that differs by upstream, as many active hosts as the limit has requests per second, and one, send at equal intervals, the others nothing. Together at most the limit, and one request of each of them, in any span. A limited upstream is not ejected for it and is tried, hedged to and retried within the limit only; if there is no other, a request is refused at once. A limit ends with a response without one to a later request, or after 15 s without news.

Ruled out: a share for each host (forty first requests are more than a limit of one a second allows in four seconds).

Emulation of 1, 3 and 40 active and 12 standby hosts, limits of 0.5 to 8 a second: within the rule, and at least half of each limit is used.

--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -35,6 +35,8 @@
 /// Time between the hosts' turns to try a suspected upstream. If the first host sends no request or gets no response in
 /// this time, the next one may try as well.
 constexpr std::chrono::milliseconds trial_turn_time{250};
+/// Seed of the order in which hosts share the rate of an upstream.
+constexpr std::uint64_t rate_limit_seed = 0;
 /// An upstream that received a request within this time counts as used in `service_summary`.
 constexpr std::chrono::seconds recent_use_window{2};
 
@@ -154,6 +156,7 @@
         summary.trusted += state == trust::trusted ? 1 : 0;
         summary.on_trial += state == trust::trial ? 1 : 0;
         summary.suspected += state == trust::suspected ? 1 : 0;
+        summary.limited += upstream->rate_limit.applies(now) ? 1 : 0;
         summary.missing += upstream->missing ? 1 : 0;
         summary.stuck += is_stuck(*upstream, mean_latency, now) ? 1 : 0;
         summary.slow += is_slow(*upstream, mean_latency, now) ? 1 : 0;
@@ -177,13 +180,31 @@
     if (turn < kernel::duration::zero()) {
         return false;
     }
+    const auto place = place_for(upstream, upstream.health.ejections());
+    return turn >= (place ? static_cast<std::int64_t>(place->index) : standby_turn) * trial_turn_time;
+}
+
+std::optional<active_position> load_balancer::place_for(const tracked_upstream& upstream, std::uint64_t seed) const
+{
     if (!active_position_) {
-        return turn >= standby_turn * trial_turn_time;
+        return std::nullopt;
     }
+    const auto hosts = active_position_->hosts;
     const auto& name = upstream.record.id.value();
-    const auto first = ::XXH64(name.data(), name.size(), upstream.health.ejections()) % active_position_->hosts;
-    const auto place = (active_position_->index + active_position_->hosts - first) % active_position_->hosts;
-    return turn >= static_cast<std::int64_t>(place) * trial_turn_time;
+    const auto first = ::XXH64(name.data(), name.size(), seed) % hosts;
+    return active_position{(active_position_->index + hosts - first) % hosts, hosts};
+}
+
+bool load_balancer::is_available(const tracked_upstream& upstream, kernel::time_point now) const
+{
+    if (upstream.draining) {
+        return false;
+    }
+    if (!upstream.rate_limit.applies(now)) {
+        return true;
+    }
+    const auto place = place_for(upstream, rate_limit_seed);
+    return place && upstream.rate_limit.allows(*place, upstream.last_request_at, now);
 }
 
 load_balancer::candidate_lists load_balancer::classify(const std::vector<tracked_upstream*>& upstreams,
@@ -234,7 +255,7 @@
                                                                        kernel::time_point now)
 {
     auto upstreams = directory_.of_service(request.service);
-    std::erase_if(upstreams, [](const auto* upstream) { return upstream->draining; });
+    std::erase_if(upstreams, [this, now](const auto* upstream) { return !is_available(*upstream, now); });
     const auto mean_latency = std::max(service_latency(request.service), kernel::duration{1});
     const bool is_repeatable_trial = request.repeatable && request.excluded.empty();
     auto candidates =
--- a/libraries/proxy/load_balancer.h
+++ b/libraries/proxy/load_balancer.h
@@ -39,6 +39,8 @@
     std::size_t trusted = 0;
     std::size_t on_trial = 0;
     std::size_t suspected = 0;
+    /// Upstreams that limit the rate of their requests.
+    std::size_t limited = 0;
     /// Entries that are missing from the store and may reappear.
     std::size_t missing = 0;
     /// Upstreams with an exchange that takes several times the mean latency.
@@ -103,6 +105,10 @@
 
     [[nodiscard]] candidate_lists classify(const std::vector<tracked_upstream*>& upstreams,
                                            const selection_state& selection) const;
+    /// Whether the upstream takes new requests of this host.
+    [[nodiscard]] bool is_available(const tracked_upstream& upstream, kernel::time_point now) const;
+    /// This host's place in an order of the active hosts that differs by upstream and `seed`; empty on standby.
+    [[nodiscard]] std::optional<active_position> place_for(const tracked_upstream& upstream, std::uint64_t seed) const;
     [[nodiscard]] bool may_be_tried(const tracked_upstream& upstream, bool released,
                                     const selection_state& selection) const;
     [[nodiscard]] bool is_at_service_limit(const kernel::service_name& service, const candidate_lists& candidates,
--- a/libraries/proxy/message_headers.cpp
+++ b/libraries/proxy/message_headers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 #include <xxhash.h>
 
@@ -46,6 +47,20 @@
     return same(names.key) || same(names.customer) || same(names.target_upstream) || same(names.deadline);
 }
 
+// Returns the number that a header holds; empty if it is missing, not a decimal number, negative or not finite.
+std::optional<double> read_decimal(const http_fields& headers, const std::string& name)
+{
+    const auto found = headers.find(name);
+    if (found == headers.end()) {
+        return std::nullopt;
+    }
+    const std::string_view text{found->value().data(), found->value().size()};
+    double value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+    const bool valid = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size();
+    return valid && std::isfinite(value) && value >= 0 ? std::optional{value} : std::nullopt;
+}
+
 void append(std::string& head, std::string_view name, std::string_view value)
 {
     head.append(name).append(": ").append(value).append("\r\n");
@@ -117,6 +132,11 @@
     return std::chrono::milliseconds{value};
 }
 
+std::optional<double> read_rate_limit(const http_fields& headers, const wire_names& names)
+{
+    return read_decimal(headers, names.rate_limit);
+}
+
 std::string_view query_parameter(std::string_view target, std::string_view name)
 {
     auto rest = target.substr(std::min(target.size(), target.find('?')));
--- a/libraries/proxy/message_headers.h
+++ b/libraries/proxy/message_headers.h
@@ -34,6 +34,9 @@
 [[nodiscard]] std::optional<std::chrono::milliseconds> read_deadline(const http_request& request,
                                                                      const wire_names& names);
 
+/// Returns the requests per second that an upstream names as its limit; empty if it names none or none that is valid.
+[[nodiscard]] std::optional<double> read_rate_limit(const http_fields& headers, const wire_names& names);
+
 /// Returns a hash that is equal for requests with the same customer, method, target and body.
 [[nodiscard]] std::uint64_t fingerprint_of(const http_request& request, const kernel::customer_name& customer);
 
--- a/libraries/proxy/peer_message.cpp
+++ b/libraries/proxy/peer_message.cpp
@@ -90,6 +90,47 @@
     return results;
 }
 
+nlohmann::json write_notice(const upstream_notice& notice)
+{
+    nlohmann::json document{{"started", notice.started_at_ms}};
+    if (notice.rate_limit) {
+        document["rate"] = *notice.rate_limit;
+    }
+    return document;
+}
+
+upstream_notice read_notice(const nlohmann::json& from)
+{
+    upstream_notice notice;
+    notice.started_at_ms = from.at("started").get<std::int64_t>();
+    if (const auto rate = from.find("rate"); rate != from.end()) {
+        notice.rate_limit = rate->get<double>();
+    }
+    return notice;
+}
+
+nlohmann::json write_evidence(const shared_evidence& evidence)
+{
+    nlohmann::json document{evidence.upstream.value(), static_cast<int>(evidence.outcome), evidence.fingerprint};
+    if (evidence.notice) {
+        document.push_back(write_notice(*evidence.notice));
+    }
+    return document;
+}
+
+shared_evidence read_evidence(const nlohmann::json& from)
+{
+    shared_evidence evidence;
+    evidence.upstream = kernel::upstream_name{from.at(0).get<std::string>()};
+    evidence.outcome = static_cast<exchange_outcome>(from.at(1).get<int>());
+    evidence.fingerprint = from.at(2).get<std::uint64_t>();
+    // Hosts of an earlier release report no notices.
+    if (from.size() > 3) {
+        evidence.notice = read_notice(from.at(3));
+    }
+    return evidence;
+}
+
 peer_message read_message(const nlohmann::json& document)
 {
     peer_message message;
@@ -118,9 +159,7 @@
         message.state.admitted[kernel::customer_name{customer}] = count.get<std::uint64_t>();
     }
     for (const auto& observation : document.at("evidence")) {
-        const auto outcome = static_cast<exchange_outcome>(observation.at(1).get<int>());
-        message.evidence.push_back({kernel::upstream_name{observation.at(0).get<std::string>()}, outcome,
-                                    observation.at(2).get<std::uint64_t>()});
+        message.evidence.push_back(read_evidence(observation));
     }
     return message;
 }
@@ -135,8 +174,7 @@
     }
     nlohmann::json evidence = nlohmann::json::array();
     for (const auto& observation : message.evidence) {
-        evidence.push_back(
-            {observation.upstream.value(), static_cast<int>(observation.outcome), observation.fingerprint});
+        evidence.push_back(write_evidence(observation));
     }
     nlohmann::json document{{"v", format_version},
                             {"host", message.sender.host.value()},
--- a/libraries/proxy/peer_message.h
+++ b/libraries/proxy/peer_message.h
@@ -5,6 +5,7 @@
 #include "libraries/proxy/service_results.h"
 #include "libraries/proxy/store_relay.h"
 #include "libraries/proxy/upstream_health.h"
+#include "libraries/proxy/upstream_notice.h"
 
 #include <cstdint>
 #include <optional>
@@ -21,6 +22,8 @@
     /// Fingerprint of the request during which the upstream closed the connection without an answer; 0 for other
     /// failures.
     std::uint64_t fingerprint = 0;
+    /// What the upstream said of itself, if that changed.
+    std::optional<upstream_notice> notice;
 };
 
 /// One datagram between hosts: the sender's record, its state and new evidence.
--- a/libraries/proxy/proxy_events.cpp
+++ b/libraries/proxy/proxy_events.cpp
@@ -36,6 +36,7 @@
     std::pair{proxy_event::upstream_suspected, std::string_view{"upstream_suspected"}},
     std::pair{proxy_event::upstream_trusted, std::string_view{"upstream_trusted"}},
     std::pair{proxy_event::service_unserved, std::string_view{"service_unserved"}},
+    std::pair{proxy_event::upstream_limit_changed, std::string_view{"upstream_limit_changed"}},
     std::pair{proxy_event::request_failed, std::string_view{"request_failed"}},
     std::pair{proxy_event::request_refused, std::string_view{"request_refused"}},
     std::pair{proxy_event::request_served, std::string_view{"request_served"}},
--- a/libraries/proxy/proxy_events.h
+++ b/libraries/proxy/proxy_events.h
@@ -34,6 +34,7 @@
     upstream_suspected = 11034,
     upstream_trusted = 11035,
     service_unserved = 11036,
+    upstream_limit_changed = 11037,
     request_failed = 11041,
     request_refused = 11042,
     request_served = 11043,
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -57,6 +57,7 @@
         return "added";
     case directory_change::draining:
         return "leaving";
+    case directory_change::limit_changed:
     case directory_change::removed:
         break;
     }
@@ -70,6 +71,7 @@
         return proxy_event::upstream_added;
     case directory_change::draining:
         return proxy_event::upstream_leaving;
+    case directory_change::limit_changed:
     case directory_change::removed:
         break;
     }
@@ -101,7 +103,7 @@
     peer_channel_ = std::make_shared<peer_channel>(context, [this](const auto& message) { on_peer_message(message); });
     environment_.share_evidence = [this](const shared_evidence& evidence, trust trust_at_start) {
         const auto now = environment_.clock();
-        if (should_share_evidence(evidence.outcome, trust_at_start, peers_.is_active(now))) {
+        if (evidence.notice || should_share_evidence(evidence.outcome, trust_at_start, peers_.is_active(now))) {
             send_evidence(peers_.recipient_addresses(now), {evidence});
         }
     };
@@ -252,12 +254,21 @@
 
 void proxy_host::on_directory_change(const upstream_record& record, directory_change change)
 {
+    if (change == directory_change::limit_changed) {
+        const auto now = environment_.clock();
+        const auto limit = environment_.upstreams.find(record.id)->rate_limit.per_second(now);
+        environment_.log.write(now, line_priority::important, proxy_event::upstream_limit_changed,
+                               {{"upstream", record.id.value()},
+                                {"service", record.service.value()},
+                                {"per_second", limit ? std::to_string(*limit) : std::string{}}});
+        return;
+    }
     environment_.log.write(environment_.clock(), line_priority::important, event_of(change),
                            {{"upstream", record.id.value()},
                             {"service", record.service.value()},
                             {"address", record.address.value()},
                             {"change", std::string{to_text(change)}}});
-    if (change != directory_change::added) {
+    if (change == directory_change::draining || change == directory_change::removed) {
         environment_.connections.close_all(record.id);
     }
 }
@@ -308,6 +319,9 @@
                                         {"from", received->sender.host.value()}});
             }
         }
+        if (evidence.notice) {
+            environment_.upstreams.record_reported_notice(evidence.upstream, *evidence.notice, now);
+        }
         if (evidence.fingerprint != 0) {
             environment_.quarantine.record({evidence.fingerprint, evidence.upstream}, now);
         }
@@ -400,6 +414,7 @@
                                 {"trusted", std::to_string(summary.trusted)},
                                 {"trial", std::to_string(summary.on_trial)},
                                 {"suspected", std::to_string(summary.suspected)},
+                                {"limited", std::to_string(summary.limited)},
                                 {"missing", std::to_string(summary.missing)},
                                 {"stuck", std::to_string(summary.stuck)},
                                 {"slow", std::to_string(summary.slow)},
--- a/libraries/proxy/request_handler.cpp
+++ b/libraries/proxy/request_handler.cpp
@@ -301,7 +301,7 @@
     attempt next{chosen.record.id,
                  std::make_shared<upstream_exchange>(environment_.context, environment_.connections, environment_.names,
                                                      environment_.clock),
-                 now, chosen.health.state(now)};
+                 now, chosen.record.started_at_ms, chosen.health.state(now)};
     chosen.in_flight.insert(now);
     chosen.last_request_at = now;
     plan_.record_start();
@@ -423,9 +423,8 @@
                                     {"request", request_id_}});
         }
     }
-    if (result.end == exchange_end::response_received && result.response.status == misdirected_status) {
-        environment_.connections.close_all(ended.upstream);
-        environment_.upstreams.mark_draining(ended.upstream);
+    if (result.end == exchange_end::response_received) {
+        record_response(ended, result.response, now);
     }
     if (outcome == exchange_outcome::good) {
         environment_.quarantine.record_success(fingerprint_, now);
@@ -445,6 +444,21 @@
     share_evidence(ended, outcome, result, now);
 }
 
+// Records what a complete response says of its upstream.
+void request_handler::record_response(const attempt& ended, const upstream_response& response, kernel::time_point now)
+{
+    if (response.status == misdirected_status) {
+        environment_.connections.close_all(ended.upstream);
+        environment_.upstreams.mark_draining(ended.upstream);
+        return;
+    }
+    const upstream_notice notice{ended.upstream_started_at_ms, read_rate_limit(response.headers, environment_.names)};
+    if (environment_.upstreams.record_notice(ended.upstream, notice, ended.sent_at, now) &&
+        environment_.share_evidence) {
+        environment_.share_evidence({ended.upstream, exchange_outcome::neutral, 0, notice}, ended.trust_at_start);
+    }
+}
+
 void request_handler::share_evidence(const attempt& ended, exchange_outcome outcome, const exchange_result& result,
                                      kernel::time_point now)
 {
@@ -453,7 +467,8 @@
         environment_.quarantine.record({fingerprint_, ended.upstream}, now);
     }
     if (environment_.share_evidence) {
-        environment_.share_evidence({ended.upstream, outcome, crashed ? fingerprint_ : 0}, ended.trust_at_start);
+        environment_.share_evidence({ended.upstream, outcome, crashed ? fingerprint_ : 0, std::nullopt},
+                                    ended.trust_at_start);
     }
 }
 
--- a/libraries/proxy/request_handler.h
+++ b/libraries/proxy/request_handler.h
@@ -33,6 +33,8 @@
         kernel::upstream_name upstream;
         std::shared_ptr<upstream_exchange> exchange;
         kernel::time_point sent_at;
+        /// Unix time of the upstream's start in milliseconds.
+        std::int64_t upstream_started_at_ms = 0;
         /// Trust in the upstream when the request was sent.
         trust trust_at_start = trust::trusted;
     };
@@ -51,6 +53,7 @@
     [[nodiscard]] check authenticate(kernel::time_point now);
     [[nodiscard]] check choose_service(kernel::time_point now);
     [[nodiscard]] check check_quarantine(kernel::time_point now);
+    void record_response(const attempt& ended, const upstream_response& response, kernel::time_point now);
     void share_evidence(const attempt& ended, exchange_outcome outcome, const exchange_result& result,
                         kernel::time_point now);
     void set_deadline();
--- a/libraries/proxy/upstream_directory.cpp
+++ b/libraries/proxy/upstream_directory.cpp
@@ -91,6 +91,35 @@
     }
 }
 
+bool upstream_directory::record_notice(const kernel::upstream_name& id, const upstream_notice& notice,
+                                       kernel::time_point sent_at, kernel::time_point now)
+{
+    auto* upstream = find_process(id, notice.started_at_ms);
+    if (upstream == nullptr) {
+        return false;
+    }
+    const auto known_limit = upstream->rate_limit.per_second(now);
+    const bool should_report = upstream->rate_limit.record_response(notice.rate_limit, sent_at, now);
+    if (upstream->rate_limit.per_second(now) != known_limit) {
+        notify_(upstream->record, directory_change::limit_changed);
+    }
+    return should_report;
+}
+
+void upstream_directory::record_reported_notice(const kernel::upstream_name& id, const upstream_notice& notice,
+                                                kernel::time_point now)
+{
+    if (auto* upstream = find_process(id, notice.started_at_ms); upstream != nullptr) {
+        upstream->rate_limit.record_report(notice.rate_limit, now);
+    }
+}
+
+tracked_upstream* upstream_directory::find_process(const kernel::upstream_name& id, std::int64_t started_at_ms)
+{
+    auto* upstream = find(id);
+    return upstream != nullptr && upstream->record.started_at_ms == started_at_ms ? upstream : nullptr;
+}
+
 void upstream_directory::remove_missing(kernel::time_point now)
 {
     if (!store_is_stable(now)) {
--- a/libraries/proxy/upstream_directory.h
+++ b/libraries/proxy/upstream_directory.h
@@ -2,6 +2,8 @@
 
 #include "kernel/clock.h"
 #include "libraries/proxy/upstream_health.h"
+#include "libraries/proxy/upstream_notice.h"
+#include "libraries/proxy/upstream_rate_limit.h"
 #include "libraries/proxy/upstream_record.h"
 
 #include <functional>
@@ -27,13 +29,14 @@
     kernel::time_point last_response_at{};
     /// After it has shed a request, other upstreams are preferred until this time.
     kernel::time_point busy_until{};
+    upstream_rate_limit rate_limit;
     /// Its entry is missing from the store and may reappear.
     bool missing = false;
     /// It is being taken out of service, as its entry or one of its answers says.
     bool draining = false;
 };
 
-enum class directory_change { added, draining, removed };
+enum class directory_change { added, limit_changed, draining, removed };
 
 /// The upstreams of all services, as their entries in the store list them.
 ///
@@ -57,6 +60,14 @@
     /// Marks an upstream that reports itself as draining, or whose address another process has taken.
     void mark_draining(const kernel::upstream_name& id);
 
+    /// Records what a response of the upstream says; `sent_at` is when its request was sent. Returns whether the other
+    /// hosts should be told. Without effect if the upstream has started anew.
+    bool record_notice(const kernel::upstream_name& id, const upstream_notice& notice, kernel::time_point sent_at,
+                       kernel::time_point now);
+
+    /// Records what another host reports of the upstream.
+    void record_reported_notice(const kernel::upstream_name& id, const upstream_notice& notice, kernel::time_point now);
+
     void record_store_failure(kernel::time_point now) { last_store_failure_ = now; }
 
     /// Removes missing entries that had time to reappear. Called after each successful read by this host or by the
@@ -71,6 +82,7 @@
     [[nodiscard]] const std::map<kernel::upstream_name, tracked_upstream>& all() const { return upstreams_; }
 
 private:
+    [[nodiscard]] tracked_upstream* find_process(const kernel::upstream_name& id, std::int64_t started_at_ms);
     [[nodiscard]] bool store_is_stable(kernel::time_point now) const;
     void erase(const kernel::upstream_name& id);
     void add_to_index(tracked_upstream& upstream);
--- /dev/null
+++ b/libraries/proxy/upstream_notice.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "kernel/clock.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace wisterialane::proxy {
+
+/// What an upstream says of itself in a response.
+struct upstream_notice {
+    /// Unix time of the upstream's start in milliseconds, to which the notice applies.
+    std::int64_t started_at_ms = 0;
+    /// Requests per second that it takes from all hosts together.
+    std::optional<double> rate_limit;
+};
+
+} // namespace wisterialane::proxy
