Upstream directory: Send nothing more to an upstream that says in a response that it leaves

Change: the upstream is marked as draining at once, and the other hosts are told. The notice names the start of the process, so it does not apply to the next one under the same id.

--- a/libraries/proxy/message_headers.cpp
+++ b/libraries/proxy/message_headers.cpp
@@ -132,9 +132,9 @@
     return std::chrono::milliseconds{value};
 }
 
-std::optional<double> read_rate_limit(const http_fields& headers, const wire_names& names)
+upstream_notice read_notice(const http_fields& headers, const wire_names& names, std::int64_t started_at_ms)
 {
-    return read_decimal(headers, names.rate_limit);
+    return {started_at_ms, headers[names.leaving] == "1", read_decimal(headers, names.rate_limit)};
 }
 
 std::string_view query_parameter(std::string_view target, std::string_view name)
--- a/libraries/proxy/message_headers.h
+++ b/libraries/proxy/message_headers.h
@@ -2,6 +2,7 @@
 
 #include "libraries/proxy/caller_session.h"
 #include "libraries/proxy/upstream_exchange.h"
+#include "libraries/proxy/upstream_notice.h"
 #include "libraries/proxy/wire_names.h"
 
 #include <chrono>
@@ -34,8 +35,10 @@
 [[nodiscard]] std::optional<std::chrono::milliseconds> read_deadline(const http_request& request,
                                                                      const wire_names& names);
 
-/// Returns the requests per second that an upstream names as its limit; empty if it names none or none that is valid.
-[[nodiscard]] std::optional<double> read_rate_limit(const http_fields& headers, const wire_names& names);
+/// Returns what the headers of a response say of the upstream that was started at this time. An invalid value says
+/// nothing.
+[[nodiscard]] upstream_notice read_notice(const http_fields& headers, const wire_names& names,
+                                          std::int64_t started_at_ms);
 
 /// Returns a hash that is equal for requests with the same customer, method, target and body.
 [[nodiscard]] std::uint64_t fingerprint_of(const http_request& request, const kernel::customer_name& customer);
--- a/libraries/proxy/peer_message.cpp
+++ b/libraries/proxy/peer_message.cpp
@@ -92,7 +92,7 @@
 
 nlohmann::json write_notice(const upstream_notice& notice)
 {
-    nlohmann::json document{{"started", notice.started_at_ms}};
+    nlohmann::json document{{"started", notice.started_at_ms}, {"leaving", notice.leaving}};
     if (notice.rate_limit) {
         document["rate"] = *notice.rate_limit;
     }
@@ -103,6 +103,7 @@
 {
     upstream_notice notice;
     notice.started_at_ms = from.at("started").get<std::int64_t>();
+    notice.leaving = from.at("leaving").get<bool>();
     if (const auto rate = from.find("rate"); rate != from.end()) {
         notice.rate_limit = rate->get<double>();
     }
--- a/libraries/proxy/request_handler.cpp
+++ b/libraries/proxy/request_handler.cpp
@@ -452,7 +452,7 @@
         environment_.upstreams.mark_draining(ended.upstream);
         return;
     }
-    const upstream_notice notice{ended.upstream_started_at_ms, read_rate_limit(response.headers, environment_.names)};
+    const auto notice = read_notice(response.headers, environment_.names, ended.upstream_started_at_ms);
     if (environment_.upstreams.record_notice(ended.upstream, notice, ended.sent_at, now) &&
         environment_.share_evidence) {
         environment_.share_evidence({ended.upstream, exchange_outcome::neutral, 0, notice}, ended.trust_at_start);
--- a/libraries/proxy/upstream_directory.cpp
+++ b/libraries/proxy/upstream_directory.cpp
@@ -98,6 +98,11 @@
     if (upstream == nullptr) {
         return false;
     }
+    if (notice.leaving) {
+        const bool is_news = !upstream->draining;
+        mark_draining(id);
+        return is_news;
+    }
     const auto known_limit = upstream->rate_limit.per_second(now);
     const bool should_report = upstream->rate_limit.record_response(notice.rate_limit, sent_at, now);
     if (upstream->rate_limit.per_second(now) != known_limit) {
@@ -109,9 +114,15 @@
 void upstream_directory::record_reported_notice(const kernel::upstream_name& id, const upstream_notice& notice,
                                                 kernel::time_point now)
 {
-    if (auto* upstream = find_process(id, notice.started_at_ms); upstream != nullptr) {
-        upstream->rate_limit.record_report(notice.rate_limit, now);
+    auto* upstream = find_process(id, notice.started_at_ms);
+    if (upstream == nullptr) {
+        return;
+    }
+    if (notice.leaving) {
+        mark_draining(id);
+        return;
     }
+    upstream->rate_limit.record_report(notice.rate_limit, now);
 }
 
 tracked_upstream* upstream_directory::find_process(const kernel::upstream_name& id, std::int64_t started_at_ms)
--- a/libraries/proxy/upstream_notice.h
+++ b/libraries/proxy/upstream_notice.h
@@ -11,6 +11,8 @@
 struct upstream_notice {
     /// Unix time of the upstream's start in milliseconds, to which the notice applies.
     std::int64_t started_at_ms = 0;
+    /// It is being taken out of service.
+    bool leaving = false;
     /// Requests per second that it takes from all hosts together.
     std::optional<double> rate_limit;
 };
--- a/tests/proxy/test_platform_formats.cpp
+++ b/tests/proxy/test_platform_formats.cpp
@@ -112,7 +112,7 @@
     message.sender = {kernel::host_name{"h1"}, kernel::data_centre_name{"z"}, kernel::socket_address{"10.0.0.1:1"},
                       kernel::socket_address{"10.0.0.1:2"}};
     message.state = {kernel::instance_id{"run"}, true, true, 0.25, {{kernel::customer_name{"c"}, 7}}};
-    message.evidence = {{kernel::upstream_name{"u"}, exchange_outcome::broken, 17, upstream_notice{5, 2.5}}};
+    message.evidence = {{kernel::upstream_name{"u"}, exchange_outcome::broken, 17, upstream_notice{5, true, 2.5}}};
     message.relay = store_relay{kernel::version_number{4},
                                 store_time{77},
                                 store_revision{1},
@@ -131,6 +131,7 @@
     CHECK(decoded->evidence[0].fingerprint == 17);
     REQUIRE(decoded->evidence[0].notice);
     CHECK(decoded->evidence[0].notice->started_at_ms == 5);
+    CHECK(decoded->evidence[0].notice->leaving);
     CHECK(decoded->evidence[0].notice->rate_limit == 2.5);
     REQUIRE(decoded->relay);
     CHECK(decoded->relay->present[0].slots == 3);
--- a/tests/proxy/test_upstream_notices.cpp
+++ b/tests/proxy/test_upstream_notices.cpp
@@ -50,4 +50,19 @@
     CHECK(speaking.received.size() - told > 20);
 }
 
+// Guards against a violation of DRAIN: an upstream said in its responses that it leaves, and received requests until
+// its entry in the store said so as well.
+TEST_CASE_FIXTURE(notice_fixture,
+                  "upstream notices: an upstream says that it leaves: its next response is the last one")
+{
+    headers = "X-Leaving: 1\r\n";
+    start();
+    run_until([this] {
+        REQUIRE(call(get_request("r"))->status == 200);
+        return !speaking.received.empty();
+    });
+    call_for(std::chrono::milliseconds{500});
+    CHECK(speaking.received.size() == 1);
+}
+
 } // namespace wisterialane::proxy
--- a/tests/proxy/test_upstream_rate_limit.cpp
+++ b/tests/proxy/test_upstream_rate_limit.cpp
@@ -69,7 +69,7 @@
             return;
         }
         arrivals_.push_back(now_);
-        const upstream_notice notice{1, per_second_};
+        const upstream_notice notice{1, false, per_second_};
         if (at.directory.record_notice(limited_, notice, now_, now_)) {
             for (auto& other : hosts_) {
                 if (&other != &at) {
