--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -1,8 +1,11 @@
 #include "libraries/proxy/load_balancer.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
+#include <xxhash.h>
+
 namespace wisterialane::proxy {
 namespace {
 
@@ -18,11 +21,22 @@
 constexpr double busy_cost_factor = 4;
 constexpr double remote_cost_factor = 1.5;
 constexpr double warm_up_cost_factor = 2;
+/// An upstream whose latency exceeds the mean by more than this fraction of it is avoided as slow.
+constexpr double slow_excess = 0.5;
+/// The excess of an upstream's latency over the mean counts half after this time without a response.
+constexpr seconds latency_half_life{2};
 /// At most this fraction of a service's upstreams is ejected for longer than `minimum_ejection_time`: the others have
 /// to carry their load, and many failures at once suggest that the evidence is wrong rather than the upstreams.
 constexpr double maximum_ejected_fraction = 0.45;
 /// The same limit while callers are unserved: then every upstream that may be healthy is needed.
 constexpr double strained_maximum_ejected_fraction = 0.3;
+/// Turns after which a standby host may try a suspected upstream, because the active hosts do not.
+constexpr std::int64_t standby_turn = 8;
+/// Time between the hosts' turns to try a suspected upstream. If the first host sends no request or gets no response in
+/// this time, the next one may try as well.
+constexpr std::chrono::milliseconds trial_turn_time{250};
+/// Seed of the order in which hosts share the rate of an upstream.
+constexpr std::uint64_t rate_limit_seed = 0;
 /// An upstream that received a request within this time counts as used in `service_summary`.
 constexpr std::chrono::seconds recent_use_window{2};
 
@@ -54,12 +68,20 @@
     return upstream.health.state(now);
 }
 
+// An upstream that is avoided for its latency has no responses that could correct it, so an old latency counts less.
+bool load_balancer::is_slow(const tracked_upstream& upstream, kernel::duration mean_latency, kernel::time_point now)
+{
+    const seconds excess = upstream.latency - mean_latency;
+    const seconds age = now - upstream.last_response_at;
+    return excess * std::exp2(-age / latency_half_life) > slow_excess * seconds{mean_latency};
+}
+
 // Latency counts only for upstreams that are much slower than the mean, so that all others receive requests in turn and
 // this host has recent evidence on each. A strained service also needs its slow upstreams, so latency is ignored there.
 double load_balancer::cost_of(const tracked_upstream& upstream, kernel::duration mean_latency, bool strained,
                               kernel::time_point now) const
 {
-    const bool slow = !strained && upstream.latency > mean_latency + mean_latency / 2;
+    const bool slow = !strained && is_slow(upstream, mean_latency, now);
     const auto latency = slow ? upstream.latency : mean_latency;
     const double load = static_cast<double>(upstream.in_flight.size() + 1) / std::max(1U, upstream.record.slots);
     double cost = seconds{latency}.count() * (1 + load);
@@ -134,8 +156,10 @@
         summary.trusted += state == trust::trusted ? 1 : 0;
         summary.on_trial += state == trust::trial ? 1 : 0;
         summary.suspected += state == trust::suspected ? 1 : 0;
+        summary.limited += upstream->rate_limit.applies(now) ? 1 : 0;
         summary.missing += upstream->missing ? 1 : 0;
         summary.stuck += is_stuck(*upstream, mean_latency, now) ? 1 : 0;
+        summary.slow += is_slow(*upstream, mean_latency, now) ? 1 : 0;
         summary.recently_used += now - upstream->last_request_at < recent_use_window ? 1 : 0;
         summary.in_flight += upstream->in_flight.size();
     }
@@ -144,17 +168,57 @@
     return summary;
 }
 
+// One trial serves all hosts, which report its result to each other, so they take turns: the first one as soon as the
+// upstream may be tried, each further one some time later. The order changes with each ejection, so that a host that
+// cannot reach the upstream is not always the first. Standby hosts come last.
+bool load_balancer::may_be_tried(const tracked_upstream& upstream, bool released,
+                                 const selection_state& selection) const
+{
+    const auto delay =
+        released ? minimum_ejection_time : (selection.is_repeatable_trial ? repeatable_trial_delay : trial_delay);
+    const auto turn = selection.now - upstream.health.suspected_since() - delay;
+    if (turn < kernel::duration::zero()) {
+        return false;
+    }
+    const auto place = place_for(upstream, upstream.health.ejections());
+    return turn >= (place ? static_cast<std::int64_t>(place->index) : standby_turn) * trial_turn_time;
+}
+
+std::optional<active_position> load_balancer::place_for(const tracked_upstream& upstream, std::uint64_t seed) const
+{
+    if (!active_position_) {
+        return std::nullopt;
+    }
+    const auto hosts = active_position_->hosts;
+    const auto& name = upstream.record.id.value();
+    const auto first = ::XXH64(name.data(), name.size(), seed) % hosts;
+    return active_position{(active_position_->index + hosts - first) % hosts, hosts};
+}
+
+bool load_balancer::is_available(const tracked_upstream& upstream, kernel::time_point now) const
+{
+    if (upstream.draining) {
+        return false;
+    }
+    if (!upstream.rate_limit.applies(now)) {
+        return true;
+    }
+    const auto place = place_for(upstream, rate_limit_seed);
+    return place && upstream.rate_limit.allows(*place, upstream.last_request_at, now);
+}
+
 load_balancer::candidate_lists load_balancer::classify(const std::vector<tracked_upstream*>& upstreams,
-                                                       kernel::duration mean_latency, bool strained,
-                                                       kernel::time_point now) const
+                                                       const selection_state& selection) const
 {
     candidate_lists lists;
-    const auto released =
-        released_early(upstreams, strained ? strained_maximum_ejected_fraction : maximum_ejected_fraction, now);
+    const auto now = selection.now;
+    const auto released = released_early(
+        upstreams, selection.strained ? strained_maximum_ejected_fraction : maximum_ejected_fraction, now);
     for (auto* upstream : upstreams) {
-        auto state = trust_of(*upstream, mean_latency, now);
-        if (state == trust::suspected && released.contains(upstream->record.id)) {
-            state = trust::trial;
+        auto state = trust_of(*upstream, selection.mean_latency, now);
+        if (state != trust::trusted && upstream->health.state(now) != trust::trusted && !upstream->missing) {
+            state = may_be_tried(*upstream, released.contains(upstream->record.id), selection) ? trust::trial
+                                                                                               : trust::suspected;
         }
         if (state == trust::trusted) {
             lists.trusted_in_flight += upstream->in_flight.size();
@@ -167,7 +231,7 @@
         }
         auto& candidates =
             state == trust::trusted ? lists.trusted : (state == trust::trial ? lists.on_trial : lists.suspected);
-        candidates.push_back({upstream, cost_of(*upstream, mean_latency, strained, now)});
+        candidates.push_back({upstream, cost_of(*upstream, selection.mean_latency, selection.strained, now)});
     }
     return lists;
 }
@@ -191,9 +255,11 @@
                                                                        kernel::time_point now)
 {
     auto upstreams = directory_.of_service(request.service);
-    std::erase_if(upstreams, [](const auto* upstream) { return upstream->draining; });
+    std::erase_if(upstreams, [this, now](const auto* upstream) { return !is_available(*upstream, now); });
     const auto mean_latency = std::max(service_latency(request.service), kernel::duration{1});
-    auto candidates = classify(upstreams, mean_latency, results_.is_strained(request.service, now), now);
+    const bool is_repeatable_trial = request.repeatable && request.excluded.empty();
+    auto candidates =
+        classify(upstreams, {mean_latency, results_.is_strained(request.service, now), is_repeatable_trial, now});
     const auto is_excluded = [&request](const auto& entry) {
         return request.excluded.contains(entry.upstream->record.id);
     };
@@ -202,7 +268,7 @@
     std::erase_if(candidates.suspected, is_excluded);
     // A failed trial of a repeatable request costs its caller little. Only every second such request is a trial, so
     // that the trusted upstreams also receive requests.
-    const bool may_be_trial = request.repeatable && request.excluded.empty() && ++trial_candidates_ % 2 == 0;
+    const bool may_be_trial = is_repeatable_trial && ++trial_candidates_ % 2 == 0;
     if (may_be_trial && !candidates.on_trial.empty()) {
         return cheapest(candidates.on_trial);
     }
--- a/libraries/proxy/load_balancer.h
+++ b/libraries/proxy/load_balancer.h
@@ -2,11 +2,14 @@
 
 #include "kernel/clock.h"
 #include "kernel/identifiers.h"
+#include "libraries/proxy/active_position.h"
 #include "libraries/proxy/service_results.h"
 #include "libraries/proxy/traffic_configuration.h"
 #include "libraries/proxy/upstream_directory.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -36,10 +39,14 @@
     std::size_t trusted = 0;
     std::size_t on_trial = 0;
     std::size_t suspected = 0;
+    /// Upstreams that limit the rate of their requests.
+    std::size_t limited = 0;
     /// Entries that are missing from the store and may reappear.
     std::size_t missing = 0;
     /// Upstreams with an exchange that takes several times the mean latency.
     std::size_t stuck = 0;
+    /// Upstreams that are avoided for their latency.
+    std::size_t slow = 0;
     /// Upstreams that received a request of this host in the last two seconds.
     std::size_t recently_used = 0;
     /// Requests of this host in flight at the service's upstreams.
@@ -57,6 +64,9 @@
         : directory_{directory}, results_{results}, local_data_centre_{std::move(local_data_centre)}
     {}
 
+    /// Sets this host's place among the active hosts; empty while it is on standby.
+    void set_active_position(std::optional<active_position> position) { active_position_ = position; }
+
     [[nodiscard]] tl::expected<tracked_upstream*, selection_error> choose(const selection_request& request,
                                                                           kernel::time_point now);
 
@@ -84,8 +94,23 @@
         std::size_t trusted_in_flight = 0;
     };
 
+    /// A request of one service at the time of its selection.
+    struct selection_state {
+        kernel::duration mean_latency{};
+        bool strained = false;
+        /// The request may be the trial of an upstream at no cost for its caller.
+        bool is_repeatable_trial = false;
+        kernel::time_point now;
+    };
+
     [[nodiscard]] candidate_lists classify(const std::vector<tracked_upstream*>& upstreams,
-                                           kernel::duration mean_latency, bool strained, kernel::time_point now) const;
+                                           const selection_state& selection) const;
+    /// Whether the upstream takes new requests of this host.
+    [[nodiscard]] bool is_available(const tracked_upstream& upstream, kernel::time_point now) const;
+    /// This host's place in an order of the active hosts that differs by upstream and `seed`; empty on standby.
+    [[nodiscard]] std::optional<active_position> place_for(const tracked_upstream& upstream, std::uint64_t seed) const;
+    [[nodiscard]] bool may_be_tried(const tracked_upstream& upstream, bool released,
+                                    const selection_state& selection) const;
     [[nodiscard]] bool is_at_service_limit(const kernel::service_name& service, const candidate_lists& candidates,
                                            kernel::duration mean_latency, kernel::time_point now) const;
     [[nodiscard]] static std::set<kernel::upstream_name>
@@ -96,6 +121,8 @@
                                  kernel::time_point now) const;
     [[nodiscard]] static bool is_stuck(const tracked_upstream& upstream, kernel::duration mean_latency,
                                        kernel::time_point now);
+    [[nodiscard]] static bool is_slow(const tracked_upstream& upstream, kernel::duration mean_latency,
+                                      kernel::time_point now);
     [[nodiscard]] static trust trust_of(const tracked_upstream& upstream, kernel::duration mean_latency,
                                         kernel::time_point now);
     [[nodiscard]] static tracked_upstream* cheapest(const std::vector<candidate>& candidates);
@@ -104,6 +131,7 @@
     const upstream_directory& directory_;
     const service_results& results_;
     kernel::data_centre_name local_data_centre_;
+    std::optional<active_position> active_position_ = active_position{};
     /// Repeatable requests at their first attempt; every second one may go to an upstream on trial.
     std::uint64_t trial_candidates_ = 0;
 };
--- a/libraries/proxy/peer_message.h
+++ b/libraries/proxy/peer_message.h
@@ -5,6 +5,7 @@
 #include "libraries/proxy/service_results.h"
 #include "libraries/proxy/store_relay.h"
 #include "libraries/proxy/upstream_health.h"
+#include "libraries/proxy/upstream_notice.h"
 
 #include <cstdint>
 #include <optional>
@@ -14,13 +15,15 @@
 
 namespace wisterialane::proxy {
 
-/// A failed exchange with an upstream, reported to other hosts.
+/// An exchange with an upstream that failed or was its successful trial, reported to other hosts.
 struct shared_evidence {
     kernel::upstream_name upstream;
     exchange_outcome outcome = exchange_outcome::neutral;
     /// Fingerprint of the request during which the upstream closed the connection without an answer; 0 for other
     /// failures.
     std::uint64_t fingerprint = 0;
+    /// What the upstream said of itself, if that changed.
+    std::optional<upstream_notice> notice;
 };
 
 /// One datagram between hosts: the sender's record, its state and new evidence.
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -57,6 +57,7 @@
         return "added";
     case directory_change::draining:
         return "leaving";
+    case directory_change::limit_changed:
     case directory_change::removed:
         break;
     }
@@ -70,6 +71,7 @@
         return proxy_event::upstream_added;
     case directory_change::draining:
         return proxy_event::upstream_leaving;
+    case directory_change::limit_changed:
     case directory_change::removed:
         break;
     }
@@ -99,9 +101,9 @@
             [this](auto now) { return is_store_reader(now); }, [this](auto relay) { send_relay(std::move(relay)); },
             environment_.clock});
     peer_channel_ = std::make_shared<peer_channel>(context, [this](const auto& message) { on_peer_message(message); });
-    environment_.share_evidence = [this](const shared_evidence& evidence) {
+    environment_.share_evidence = [this](const shared_evidence& evidence, trust trust_at_start) {
         const auto now = environment_.clock();
-        if (should_share_evidence(evidence.outcome, peers_.is_active(now))) {
+        if (evidence.notice || should_share_evidence(evidence.outcome, trust_at_start, peers_.is_active(now))) {
             send_evidence(peers_.recipient_addresses(now), {evidence});
         }
     };
@@ -252,12 +254,21 @@
 
 void proxy_host::on_directory_change(const upstream_record& record, directory_change change)
 {
+    if (change == directory_change::limit_changed) {
+        const auto now = environment_.clock();
+        const auto limit = environment_.upstreams.find(record.id)->rate_limit.per_second(now);
+        environment_.log.write(now, line_priority::important, proxy_event::upstream_limit_changed,
+                               {{"upstream", record.id.value()},
+                                {"service", record.service.value()},
+                                {"per_second", limit ? std::to_string(*limit) : std::string{}}});
+        return;
+    }
     environment_.log.write(environment_.clock(), line_priority::important, event_of(change),
                            {{"upstream", record.id.value()},
                             {"service", record.service.value()},
                             {"address", record.address.value()},
                             {"change", std::string{to_text(change)}}});
-    if (change != directory_change::added) {
+    if (change == directory_change::draining || change == directory_change::removed) {
         environment_.connections.close_all(record.id);
     }
 }
@@ -299,14 +310,18 @@
         if (auto* known = environment_.upstreams.find(evidence.upstream)) {
             const bool was_trusted = known->health.state(now) == trust::trusted;
             known->health.record(evidence.outcome, now);
-            if (was_trusted && known->health.state(now) != trust::trusted) {
-                environment_.log.write(now, line_priority::important, proxy_event::upstream_suspected,
+            if (const bool is_trusted = known->health.state(now) == trust::trusted; was_trusted != is_trusted) {
+                environment_.log.write(now, line_priority::important,
+                                       is_trusted ? proxy_event::upstream_trusted : proxy_event::upstream_suspected,
                                        {{"upstream", evidence.upstream.value()},
                                         {"service", known->record.service.value()},
                                         {"outcome", std::string{to_name(evidence.outcome)}},
                                         {"from", received->sender.host.value()}});
             }
         }
+        if (evidence.notice) {
+            environment_.upstreams.record_reported_notice(evidence.upstream, *evidence.notice, now);
+        }
         if (evidence.fingerprint != 0) {
             environment_.quarantine.record({evidence.fingerprint, evidence.upstream}, now);
         }
@@ -399,8 +414,10 @@
                                 {"trusted", std::to_string(summary.trusted)},
                                 {"trial", std::to_string(summary.on_trial)},
                                 {"suspected", std::to_string(summary.suspected)},
+                                {"limited", std::to_string(summary.limited)},
                                 {"missing", std::to_string(summary.missing)},
                                 {"stuck", std::to_string(summary.stuck)},
+                                {"slow", std::to_string(summary.slow)},
                                 {"used", std::to_string(summary.recently_used)},
                                 {"in_flight", std::to_string(summary.in_flight)},
                                 {"latency_ms", std::to_string(latency.count())}});
@@ -467,6 +484,7 @@
     const bool discovering = is_discovering_peers(now);
     const auto expected = peers_.expected_active_hosts(now);
     const auto hosts = discovering ? std::max(expected, assumed_active_hosts) : expected;
+    environment_.balancer.set_active_position(peers_.position(now));
     environment_.quota.set_active_host_count(hosts, !discovering && !peers_.has_newly_silent_peer(now));
     const auto all = peers_.peers().size() + 1;
     environment_.retry_budget.set_slack_fraction(
