Upstream directory: Send nothing to an upstream within the time that its refusal names

Nothing read the header; the upstream was avoided for 150 ms and then took its turn.

Change: the upstream gets no request of this host within the time: no first one, retry, hedge, trial or last resort. The time counts from the arrival of the refusal and is at most an hour; a refusal during it can only extend it. Other hosts are not told: the wish is for this one.

--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -197,7 +197,7 @@
 
 bool load_balancer::is_available(const tracked_upstream& upstream, kernel::time_point now) const
 {
-    if (upstream.draining) {
+    if (upstream.draining || now < upstream.closed_until) {
         return false;
     }
     if (!upstream.rate_limit.applies(now)) {
--- a/libraries/proxy/message_headers.cpp
+++ b/libraries/proxy/message_headers.cpp
@@ -12,6 +12,9 @@
 
 namespace http = boost::beast::http;
 
+/// Longer times of an upstream count as this one.
+constexpr std::chrono::duration<double> maximum_retry_after = std::chrono::hours{1};
+
 /// Headers that apply to one connection only, and those of the body's framing, which the host sets itself.
 constexpr std::array hop_by_hop_headers{
     http::field::connection,
@@ -137,6 +140,16 @@
     return {started_at_ms, headers[names.leaving] == "1", read_decimal(headers, names.rate_limit)};
 }
 
+std::optional<kernel::duration> read_retry_after(const http_fields& headers)
+{
+    const auto wait = read_decimal(headers, "Retry-After");
+    if (!wait) {
+        return std::nullopt;
+    }
+    const std::chrono::duration<double> bounded = std::min(std::chrono::duration<double>{*wait}, maximum_retry_after);
+    return std::chrono::duration_cast<kernel::duration>(bounded);
+}
+
 std::string_view query_parameter(std::string_view target, std::string_view name)
 {
     auto rest = target.substr(std::min(target.size(), target.find('?')));
--- a/libraries/proxy/message_headers.h
+++ b/libraries/proxy/message_headers.h
@@ -40,6 +40,10 @@
 [[nodiscard]] upstream_notice read_notice(const http_fields& headers, const wire_names& names,
                                           std::int64_t started_at_ms);
 
+/// Returns the time for which an upstream that has refused a request wants no further ones, at most an hour; empty if
+/// the response does not say so in seconds.
+[[nodiscard]] std::optional<kernel::duration> read_retry_after(const http_fields& headers);
+
 /// Returns a hash that is equal for requests with the same customer, method, target and body.
 [[nodiscard]] std::uint64_t fingerprint_of(const http_request& request, const kernel::customer_name& customer);
 
--- a/libraries/proxy/request_handler.cpp
+++ b/libraries/proxy/request_handler.cpp
@@ -27,6 +27,7 @@
 constexpr unsigned first_error_status = 500;
 constexpr unsigned misdirected_status = 421;
 constexpr unsigned server_timeout_status = 504;
+constexpr unsigned unavailable_status = 503;
 
 constexpr std::string_view served = "served";
 constexpr std::string_view caller_disconnected = "caller_left";
@@ -452,6 +453,9 @@
         environment_.upstreams.mark_draining(ended.upstream);
         return;
     }
+    if (const auto wait = read_retry_after(response.headers); wait && response.status == unavailable_status) {
+        environment_.upstreams.close_until(ended.upstream, ended.upstream_started_at_ms, now + *wait);
+    }
     const auto notice = read_notice(response.headers, environment_.names, ended.upstream_started_at_ms);
     if (environment_.upstreams.record_notice(ended.upstream, notice, ended.sent_at, now) &&
         environment_.share_evidence) {
--- a/libraries/proxy/upstream_directory.cpp
+++ b/libraries/proxy/upstream_directory.cpp
@@ -125,6 +125,14 @@
     upstream->rate_limit.record_report(notice.rate_limit, now);
 }
 
+void upstream_directory::close_until(const kernel::upstream_name& id, std::int64_t started_at_ms,
+                                     kernel::time_point end)
+{
+    if (auto* upstream = find_process(id, started_at_ms); upstream != nullptr) {
+        upstream->closed_until = std::max(upstream->closed_until, end);
+    }
+}
+
 tracked_upstream* upstream_directory::find_process(const kernel::upstream_name& id, std::int64_t started_at_ms)
 {
     auto* upstream = find(id);
--- a/libraries/proxy/upstream_directory.h
+++ b/libraries/proxy/upstream_directory.h
@@ -30,6 +30,8 @@
     /// After it has shed a request, other upstreams are preferred until this time.
     kernel::time_point busy_until{};
     upstream_rate_limit rate_limit;
+    /// It has refused a request and wants none of this host until then.
+    kernel::time_point closed_until{};
     /// Its entry is missing from the store and may reappear.
     bool missing = false;
     /// It is being taken out of service, as its entry or one of its answers says.
@@ -68,6 +70,9 @@
     /// Records what another host reports of the upstream.
     void record_reported_notice(const kernel::upstream_name& id, const upstream_notice& notice, kernel::time_point now);
 
+    /// Records that the upstream wants no request of this host until then. Without effect if it has started anew.
+    void close_until(const kernel::upstream_name& id, std::int64_t started_at_ms, kernel::time_point end);
+
     void record_store_failure(kernel::time_point now) { last_store_failure_ = now; }
 
     /// Removes missing entries that had time to reappear. Called after each successful read by this host or by the
--- a/tests/proxy/test_upstream_notices.cpp
+++ b/tests/proxy/test_upstream_notices.cpp
@@ -65,4 +65,24 @@
     CHECK(speaking.received.size() == 1);
 }
 
+// Guards against a violation of BUDGET: an upstream that had turned a request away, with the time for which it wants
+// none, received the next one after 150 ms.
+TEST_CASE_FIXTURE(notice_fixture,
+                  "upstream notices: an upstream refuses and names a time: receives no request within it")
+{
+    refuses = true;
+    headers = "Retry-After: 1.5\r\n";
+    start();
+    run_until([this] {
+        REQUIRE(call(get_request("r"))->status == 200);
+        return !speaking.received.empty();
+    });
+    call_for(std::chrono::milliseconds{1200});
+    CHECK(speaking.received.size() == 1);
+    refuses = false;
+    headers.clear();
+    call_for(std::chrono::milliseconds{800});
+    CHECK(speaking.received.size() > 2);
+}
+
 } // namespace wisterialane::proxy
