Upstream directory: Remember a process whose entry expires and reappears

What callers could see: an upstream cut off from the store loses its entry and gets it back, while it goes on. All that the host knew of it was lost: that it leaves (DRAIN), that it wants no requests for a time (BUDGET), its limit (LIMIT), its ejection. Found by reading; the test failed before: 6 of 8 requests went to the three upstreams.

Change: the directory keeps what it knows of removed upstreams, up to 4,096, and takes it up again for an entry with the same id, start time, address and service.

--- a/libraries/proxy/upstream_directory.cpp
+++ b/libraries/proxy/upstream_directory.cpp
@@ -8,6 +8,14 @@
 /// Entries that expired while the store was unavailable reappear within this time after the outage.
 constexpr kernel::duration reappearance_time = std::chrono::milliseconds{2200};
 
+/// Removed upstreams that are remembered.
+constexpr std::size_t maximum_removed_upstreams = 4096;
+
+bool is_same_process(const upstream_record& left, const upstream_record& right)
+{
+    return left.started_at_ms == right.started_at_ms && left.address == right.address && left.service == right.service;
+}
+
 // The remaining warm-up time falls with every update; only its end matters.
 bool is_equivalent(const upstream_record& left, const upstream_record& right)
 {
@@ -48,15 +56,12 @@
     auto found = upstreams_.find(record.id);
     const bool unchanged =
         found != upstreams_.end() && !found->second.missing && is_equivalent(found->second.record, record);
-    const bool restarted = found != upstreams_.end() && (found->second.record.started_at_ms != record.started_at_ms ||
-                                                         found->second.record.address != record.address ||
-                                                         found->second.record.service != record.service);
-    if (restarted) {
+    if (found != upstreams_.end() && !is_same_process(found->second.record, record)) {
         erase(record.id);
         found = upstreams_.end();
     }
     if (found == upstreams_.end()) {
-        found = upstreams_.emplace(record.id, tracked_upstream{}).first;
+        found = upstreams_.emplace(record.id, take_removed(record)).first;
         found->second.record = record;
         add_to_index(found->second);
         notify_(record, directory_change::added);
@@ -160,10 +165,23 @@
     const auto found = upstreams_.find(id);
     const auto record = found->second.record;
     std::erase(by_service_[record.service], &found->second);
+    found->second.in_flight.clear();
+    removed_[id] = std::move(found->second);
     upstreams_.erase(found);
+    if (removed_.size() > maximum_removed_upstreams) {
+        removed_.erase(removed_.begin());
+    }
     notify_(record, directory_change::removed);
 }
 
+// Returns what is known of the process of this entry, if it had an entry before.
+tracked_upstream upstream_directory::take_removed(const upstream_record& record)
+{
+    auto node = removed_.extract(record.id);
+    const bool known = !node.empty() && is_same_process(node.mapped().record, record);
+    return known ? std::move(node.mapped()) : tracked_upstream{};
+}
+
 tracked_upstream* upstream_directory::find(const kernel::upstream_name& id)
 {
     const auto found = upstreams_.find(id);
--- a/libraries/proxy/upstream_directory.h
+++ b/libraries/proxy/upstream_directory.h
@@ -90,10 +90,13 @@
     [[nodiscard]] tracked_upstream* find_process(const kernel::upstream_name& id, std::int64_t started_at_ms);
     [[nodiscard]] bool store_is_stable(kernel::time_point now) const;
     void erase(const kernel::upstream_name& id);
+    [[nodiscard]] tracked_upstream take_removed(const upstream_record& record);
     void add_to_index(tracked_upstream& upstream);
 
     listener notify_;
     std::map<kernel::upstream_name, tracked_upstream> upstreams_;
+    /// Upstreams whose entries were removed, because an entry that expired may reappear while its process goes on.
+    std::map<kernel::upstream_name, tracked_upstream> removed_;
     /// Points into `upstreams_`; sorted by id.
     std::unordered_map<kernel::service_name, std::vector<tracked_upstream*>> by_service_;
     std::optional<kernel::time_point> last_store_failure_;
--- a/tests/proxy/test_upstream_notices.cpp
+++ b/tests/proxy/test_upstream_notices.cpp
@@ -1,4 +1,5 @@
 #include "tests/proxy/host_fixture.h"
+#include "tests/proxy/proxy_fixture.h"
 
 #include <doctest/doctest.h>
 
@@ -85,4 +86,34 @@
     CHECK(speaking.received.size() > 2);
 }
 
+// Guards against an upstream whose wishes are forgotten: its entry expired while it was cut off from the store, and
+// came back.
+TEST_CASE_FIXTURE(balancer_fixture,
+                  "upstream notices: entry expires and reappears: what the process said holds, a new one starts afresh")
+{
+    add_upstreams(4);
+    directory.mark_draining(kernel::upstream_name{"here0"});
+    directory.close_until(kernel::upstream_name{"here1"}, 1, now + seconds{30});
+    directory.record_notice(kernel::upstream_name{"here2"}, {1, false, 0.0}, now, now);
+    const std::vector<upstream_record> records{make_upstream("here0"), make_upstream("here1"), make_upstream("here2"),
+                                               make_upstream("here3")};
+    directory.replace_all({}, now);
+    now += seconds{5};
+    directory.replace_all(records, now);
+    for (int count = 0; count < 8; ++count) {
+        const auto chosen = balancer.choose(request, now);
+        REQUIRE(chosen);
+        CHECK((*chosen)->record.id == kernel::upstream_name{"here3"});
+        (*chosen)->last_request_at = now;
+    }
+    for (const auto* id : {"here0", "here1", "here2"}) {
+        auto restarted = make_upstream(id);
+        restarted.started_at_ms = 2;
+        directory.update(restarted);
+        CHECK_FALSE(upstream_by_id(id).draining);
+        CHECK(upstream_by_id(id).closed_until < now);
+        CHECK_FALSE(upstream_by_id(id).rate_limit.applies(now));
+    }
+}
+
 } // namespace wisterialane::proxy
