--- a/tests/proxy/test_platform_formats.cpp
+++ b/tests/proxy/test_platform_formats.cpp
@@ -85,6 +85,40 @@
     CHECK_FALSE(read_upstream_entry("x", no_address));
 }
 
+// Guards against an odd entry of another writer that is read as an upstream, which no host can connect to, or with
+// numbers that differ between processors.
+TEST_CASE("read_upstream_entry: address or number out of range, deep nesting: are rejected")
+{
+    const auto with = [](std::string_view text, const std::string& replacement) {
+        std::string changed{entry};
+        changed.replace(changed.find(text), text.size(), replacement);
+        return changed;
+    };
+    REQUIRE(read_upstream_entry("x", with("10.128.0.9:8080", "10.128.0.9:65535")));
+    for (const auto* address : {"10.128.0.9:99999", "10.128.0.9:65536", "10.128.0.9:0", "10.128.0.9:-1",
+                                "10.128.0.9:", "10.128.0.9", "", ":8080", "name:8080", "10.128.0.9:80 "}) {
+        CAPTURE(address);
+        CHECK_FALSE(read_upstream_entry("x", with("10.128.0.9:8080", address)));
+    }
+    for (const auto* slots : {"4294967300", "-4294967292", "0", "-1", "1e300", "2.5", "true", "18446744073709551618"}) {
+        CAPTURE(slots);
+        CHECK_FALSE(read_upstream_entry("x", with(":2}", ":" + std::string{slots} + "}")));
+    }
+    for (const auto* born : {"1e300", "18446744073709551615", "17000000000000000000000000", "-1", "1.5", "\"1\""}) {
+        CAPTURE(born);
+        CHECK_FALSE(read_upstream_entry("x", with("1700000000000", born)));
+    }
+    for (const auto* cold_left : {"1e300s", "infs", "nanms", "1e19ms", "soon", "-5ms"}) {
+        CAPTURE(cold_left);
+        CHECK_FALSE(read_upstream_entry("x", with("2500ms", cold_left)));
+    }
+    constexpr std::size_t depth = 200000;
+    CHECK_FALSE(read_upstream_entry("x", std::string(depth, '[')));
+    CHECK_FALSE(read_upstream_entry("x", std::string(depth, '[') + std::string(depth, ']')));
+    CHECK(read_upstream_entry(
+        "x", with("{\"address\"", "{\"more\":" + std::string(depth, '[') + std::string(depth, ']') + ",\"address\"")));
+}
+
 TEST_CASE("parse_duration: numbers with and without fraction: in milliseconds")
 {
     CHECK(parse_duration("1500ms") == std::chrono::milliseconds{1500});
