Proxy tests: Earlier refusals on kept connections, and heads that end in their middle

Two reports of other operators: a refusal written once more answered a request that had run, or sent it to a second upstream; a head that ended early became a 200 with an empty body. They guard what was only read before.

--- a/tests/proxy/test_proxy_host.cpp
+++ b/tests/proxy/test_proxy_host.cpp
@@ -297,4 +297,82 @@
     }
 }
 
+// Guards against a false statement that a request was not executed, or its second execution: a faulty upstream writes
+// an earlier refusal once more on a kept connection.
+TEST_CASE_FIXTURE(host_fixture,
+                  "proxy_host: earlier refusal once more on a kept connection: does not answer the next request")
+{
+    std::string again;
+    bool answers = true;
+    add_upstream("u1", [&](const http_request& request) {
+        if (request["X-Request"] == "refused") {
+            return scripted_response{not_executed_response(request)};
+        }
+        return scripted_response{again + (answers ? signed_response(request, "mine") : "")};
+    });
+    http_request refused;
+    refused.set("X-Request", "refused");
+    const std::string with_id = not_executed_response(refused);
+    const std::string without_id = "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    start();
+    CHECK(call(post_request("refused", "a"))->status == 503);
+    again = with_id;
+    const auto served = call(post_request("r1", "b"));
+    CHECK(served->status == 200);
+    CHECK(served->body == "mine");
+    CHECK(call(post_request("refused", "c"))->status == 503);
+    again = without_id;
+    CHECK(call(post_request("r2", "d"))->status == 502);
+    CHECK(call(post_request("refused", "e"))->status == 503);
+    again = with_id;
+    answers = false;
+    CHECK(call(post_request("r3", "f"))->status == 504);
+    CHECK(received_count() == 6);
+}
+
+// Guards against a refusal that arrives between two requests and is taken for the response to the second one.
+TEST_CASE_FIXTURE(
+    host_fixture,
+    "proxy_host: refusal twice in succession, with and without an id: the next request has its own response")
+{
+    std::string again;
+    add_upstream("u1", [&](const http_request& request) {
+        if (request["X-Request"] == "refused") {
+            return scripted_response{not_executed_response(request) + again};
+        }
+        return scripted_response{signed_response(request, "mine")};
+    });
+    http_request refused;
+    refused.set("X-Request", "refused");
+    start();
+    for (const auto& repeated :
+         {not_executed_response(refused), std::string{"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"}}) {
+        again = repeated;
+        CHECK(call(post_request("refused", "a"))->status == 503);
+        CHECK(call(post_request("r1", "b"))->body == "mine");
+    }
+    CHECK(received_count() == 4);
+}
+
+// Guards against a head that ends in its middle and reaches the caller as a complete response with an empty body.
+TEST_CASE_FIXTURE(host_fixture, "proxy_host: upstream closes in the middle of a response's head: 502 at every length")
+{
+    std::string bytes;
+    add_upstream("u1", [&bytes](const http_request&) { return scripted_response{bytes, true}; });
+    start();
+    int count = 0;
+    for (const auto* length_header :
+         {"Content-Length: 2\r\n", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+        const auto head_for = [length_header](const std::string& id) {
+            return "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request: " + id + "\r\n" + length_header + "\r\n";
+        };
+        for (std::size_t length = 0; length < head_for("r100").size(); ++length) {
+            const auto id = "r" + std::to_string(100 + ++count);
+            bytes = head_for(id).substr(0, length);
+            CAPTURE(bytes);
+            CHECK(call(post_request(id, id))->status == 502);
+        }
+    }
+}
+
 } // namespace wisterialane::proxy
