--- a/libraries/proxy/upstream_directory.h
+++ b/libraries/proxy/upstream_directory.h
@@ -30,6 +30,8 @@
     /// After it has shed a request, other upstreams are preferred until this time.
     kernel::time_point busy_until{};
     upstream_rate_limit rate_limit;
+    /// It has refused a request and wants none of this host until then.
+    kernel::time_point closed_until{};
     /// Its entry is missing from the store and may reappear.
     bool missing = false;
     /// It is being taken out of service, as its entry or one of its answers says.
@@ -68,6 +70,9 @@
     /// Records what another host reports of the upstream.
     void record_reported_notice(const kernel::upstream_name& id, const upstream_notice& notice, kernel::time_point now);
 
+    /// Records that the upstream wants no request of this host until then. Without effect if it has started anew.
+    void close_until(const kernel::upstream_name& id, std::int64_t started_at_ms, kernel::time_point end);
+
     void record_store_failure(kernel::time_point now) { last_store_failure_ = now; }
 
     /// Removes missing entries that had time to reappear. Called after each successful read by this host or by the
@@ -85,10 +90,13 @@
     [[nodiscard]] tracked_upstream* find_process(const kernel::upstream_name& id, std::int64_t started_at_ms);
     [[nodiscard]] bool store_is_stable(kernel::time_point now) const;
     void erase(const kernel::upstream_name& id);
+    [[nodiscard]] tracked_upstream take_removed(const upstream_record& record);
     void add_to_index(tracked_upstream& upstream);
 
     listener notify_;
     std::map<kernel::upstream_name, tracked_upstream> upstreams_;
+    /// Upstreams whose entries were removed, because an entry that expired may reappear while its process goes on.
+    std::map<kernel::upstream_name, tracked_upstream> removed_;
     /// Points into `upstreams_`; sorted by id.
     std::unordered_map<kernel::service_name, std::vector<tracked_upstream*>> by_service_;
     std::optional<kernel::time_point> last_store_failure_;
