Peer message: Reject outcomes, limits and fill levels out of range

The test failed at six values. A sender writes none of them: levels lie from 0 to 1, limits are decimal numbers of at least 0.

--- a/libraries/proxy/peer_message.cpp
+++ b/libraries/proxy/peer_message.cpp
@@ -2,6 +2,9 @@
 
 #include "libraries/proxy/proxy_events.h"
 
+#include <limits>
+#include <stdexcept>
+
 #include <nlohmann/json.hpp>
 
 namespace wisterialane::proxy {
@@ -10,6 +13,7 @@
 /// Messages with another format version are rejected.
 constexpr int format_version = 1;
 constexpr double percent = 100;
+constexpr int full_level = 100;
 
 nlohmann::json write_upstream(const upstream_record& record)
 {
@@ -90,6 +94,18 @@
     return results;
 }
 
+// Returns a value within a range, both ends included. Throws `std::invalid_argument` if it lies outside or is no
+// number.
+template <class Number>
+Number read_in_range(const nlohmann::json& from, Number minimum, Number maximum)
+{
+    const auto value = from.get<Number>();
+    if (!(value >= minimum && value <= maximum)) {
+        throw std::invalid_argument{"value out of range"};
+    }
+    return value;
+}
+
 nlohmann::json write_notice(const upstream_notice& notice)
 {
     nlohmann::json document{{"started", notice.started_at_ms}, {"leaving", notice.leaving}};
@@ -105,7 +121,7 @@
     notice.started_at_ms = from.at("started").get<std::int64_t>();
     notice.leaving = from.at("leaving").get<bool>();
     if (const auto rate = from.find("rate"); rate != from.end()) {
-        notice.rate_limit = rate->get<double>();
+        notice.rate_limit = read_in_range(*rate, 0.0, std::numeric_limits<double>::max());
     }
     return notice;
 }
@@ -123,7 +139,8 @@
 {
     shared_evidence evidence;
     evidence.upstream = kernel::upstream_name{from.at(0).get<std::string>()};
-    evidence.outcome = static_cast<exchange_outcome>(from.at(1).get<int>());
+    constexpr int last_outcome = static_cast<int>(exchange_outcome::neutral);
+    evidence.outcome = static_cast<exchange_outcome>(read_in_range(from.at(1), 0, last_outcome));
     evidence.fingerprint = from.at(2).get<std::uint64_t>();
     // Hosts of an earlier release report no notices.
     if (from.size() > 3) {
@@ -153,7 +170,7 @@
     if (const auto levels = document.find("levels"); levels != document.end()) {
         message.levels.emplace();
         for (const auto& [customer, level] : levels->items()) {
-            (*message.levels)[kernel::customer_name{customer}] = level.get<int>() / percent;
+            (*message.levels)[kernel::customer_name{customer}] = read_in_range(level, 0, full_level) / percent;
         }
     }
     for (const auto& [customer, count] : document.at("admitted").items()) {
@@ -218,6 +235,9 @@
     catch (const nlohmann::json::exception& error) {
         return kernel::fail(proxy_event::peer_message_unreadable, error.what());
     }
+    catch (const std::invalid_argument& error) {
+        return kernel::fail(proxy_event::peer_message_unreadable, error.what());
+    }
 }
 
 } // namespace wisterialane::proxy
--- a/tests/proxy/test_platform_formats.cpp
+++ b/tests/proxy/test_platform_formats.cpp
@@ -6,6 +6,7 @@
 #include "platform/upstream_entry.h"
 #include "tests/proxy/proxy_fixture.h"
 
+#include <limits>
 #include <string>
 
 #include <doctest/doctest.h>
@@ -198,4 +199,29 @@
     }
 }
 
+// Guards against a damaged datagram that is taken for evidence, a limit or a fill level of another kind.
+TEST_CASE("decode_peer_message: values out of range: are rejected")
+{
+    peer_message message;
+    message.evidence = {{kernel::upstream_name{"u"}, exchange_outcome::broken, 17, upstream_notice{5, false, 2.5}}};
+    message.levels = quota_levels{{kernel::customer_name{"c"}, 0.25}};
+    const auto document = nlohmann::json::from_cbor(encode(message));
+    const auto decode_with = [&document](const char* pointer, const nlohmann::json& value) {
+        auto changed = document;
+        changed[nlohmann::json::json_pointer{pointer}] = value;
+        std::string bytes;
+        nlohmann::json::to_cbor(changed, bytes);
+        return decode_peer_message(bytes);
+    };
+    CHECK(decode_with("/evidence/0/1", 2));
+    CHECK_FALSE(decode_with("/evidence/0/1", 99));
+    CHECK_FALSE(decode_with("/evidence/0/1", -1));
+    CHECK(decode_with("/evidence/0/3/rate", 0));
+    CHECK_FALSE(decode_with("/evidence/0/3/rate", -1));
+    CHECK_FALSE(decode_with("/evidence/0/3/rate", std::numeric_limits<double>::infinity()));
+    CHECK(decode_with("/levels/c", 100));
+    CHECK_FALSE(decode_with("/levels/c", 101));
+    CHECK_FALSE(decode_with("/levels/c", -1));
+}
+
 } // namespace wisterialane::proxy
