--- a/tests/proxy/test_load_balancer.cpp
+++ b/tests/proxy/test_load_balancer.cpp
@@ -220,6 +220,25 @@
     CHECK_FALSE(balancer.choose(request, now));
 }
 
+// Guards against upstreams that were slow once and get no requests any more (seen on asiis-gw-grown: none for 20 s
+// after an answer in time): only another answer corrected their latency.
+TEST_CASE_FIXTURE(balancer_fixture, "load_balancer: old slow answers, no requests since: gets one within two seconds")
+{
+    add_upstreams(6);
+    for (int index = 0; index < 6; ++index) {
+        upstream_by_id("here" + std::to_string(index)).latency = milliseconds{index == 0 ? 600 : 300};
+        upstream_by_id("here" + std::to_string(index)).last_response_at = now;
+    }
+    bool used = false;
+    for (const auto end = now + seconds{2}; now < end; now += milliseconds{20}) {
+        const auto chosen = balancer.choose(request, now);
+        REQUIRE(chosen);
+        (*chosen)->last_request_at = now;
+        used = used || (*chosen)->record.id == kernel::upstream_name{"here0"};
+    }
+    CHECK(used);
+}
+
 // Guards against long queues at the last healthy upstreams of a service whose other upstreams are on trial: their slots
 // counted as usable, so that requests for them were sent to the healthy ones.
 TEST_CASE_FIXTURE(balancer_fixture, "load_balancer: upstreams on trial: their slots do not raise the limit")
