Customer quota tests: All hosts killed at random times; pending reports of one run do not reach the next

The fixture kept the reports of a run for the next one, whose hosts then received none until these were due; the test of a host that restarts among live ones ran so. It is emptied now, and that test passes as before.

The new test kills all eight hosts up to three times within five seconds. It passes on this code: a third of a burst for each new process alone does not break the bound.

--- a/tests/proxy/test_customer_quota.cpp
+++ b/tests/proxy/test_customer_quota.cpp
@@ -1,6 +1,7 @@
 #include "libraries/proxy/customer_quota.h"
 #include "tests/proxy/proxy_fixture.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <random>
@@ -41,6 +42,7 @@
         settings.rate_per_second = rate_and_burst;
         settings.burst = rate_and_burst;
         hosts.assign(count, {});
+        pending_reports.clear();
         reported.assign(count, 0);
         reported_at.assign(count, test_start);
         for (auto& host : hosts) {
@@ -104,6 +106,43 @@
         hosts[index].apply_remote_levels(hosts[(index + 1) % hosts.size()].levels(now), now);
     }
 
+    /// Kills the processes of all hosts and starts new ones, which nobody can tell the fill levels.
+    void restart_all(kernel::time_point now)
+    {
+        pending_reports.clear();
+        for (std::size_t index = 0; index < hosts.size(); ++index) {
+            hosts[index] = customer_quota{};
+            reported[index] = 0;
+            reported_at[index] = now;
+            hosts[index].set_active_host_count(hosts.size(), false);
+            hosts[index].set_tolerated_excess(20);
+            hosts[index].configure({settings}, now);
+        }
+    }
+
+    /// Sends requests to random hosts at exponentially distributed intervals, while the processes of all hosts are
+    /// killed at these times and down for half a second.
+    void run_with_kills(double per_second, seconds length, const std::vector<kernel::time_point>& kills, unsigned seed)
+    {
+        constexpr milliseconds down_time{500};
+        std::mt19937 random{seed};
+        std::exponential_distribution<double> interval{per_second};
+        auto next_kill = kills.begin();
+        auto started = test_start;
+        for (auto now = test_start; now < test_start + length;) {
+            if (next_kill != kills.end() && now >= *next_kill) {
+                now = std::max(now, *next_kill++ + down_time);
+                started = now;
+                restart_all(now);
+            }
+            for (auto& host : hosts) {
+                host.set_active_host_count(hosts.size(), now - started >= settling_time);
+            }
+            send_request(random() % hosts.size(), now);
+            now += std::chrono::duration_cast<kernel::duration>(std::chrono::duration<double>{interval(random)});
+        }
+    }
+
     /// Sends requests to random hosts at a constant rate.
     void run(double per_second, seconds length, unsigned seed)
     {
@@ -246,6 +285,30 @@
     CHECK(most_admitted_in(seconds{5}) <= static_cast<std::size_t>((rate * 5 + burst) * 1.1 + 20));
 }
 
+// Guards against a customer that gets a part of its burst anew each time that all processes are killed (QUOTA on both
+// grown sites): nobody can tell the new processes what was admitted before.
+TEST_CASE_FIXTURE(quota_fixture,
+                  "customer_quota: all hosts killed at random times, five times the rate: stays within the bound")
+{
+    for (const double rate_and_burst : {12.0, 36.0, 300.0}) {
+        for (unsigned seed = 1; seed <= 30; ++seed) {
+            CAPTURE(rate_and_burst);
+            CAPTURE(seed);
+            std::mt19937 random{seed};
+            std::vector<kernel::time_point> kills;
+            for (unsigned kill = 0; kill <= seed % 3; ++kill) {
+                kills.push_back(test_start + seconds{6} + milliseconds{random() % 5000});
+            }
+            std::sort(kills.begin(), kills.end());
+            admitted.clear();
+            start(8, true, rate_and_burst);
+            run_with_kills(5 * rate_and_burst, seconds{18}, kills, seed);
+            CHECK(static_cast<double>(most_admitted_in(seconds{5})) <=
+                  (rate_and_burst * 5 + rate_and_burst) * 1.1 + 20);
+        }
+    }
+}
+
 TEST_CASE_FIXTURE(quota_fixture, "customer_quota: refused request: returns the time after which a retry is admitted")
 {
     start(1);
