Request handler: Tell callers when an upstream takes requests again

What callers saw: if all upstreams of a service refuse for a time that they name, the 503 said 0.3 s, so that callers returned before any upstream would take their request.

Change: Retry-After is the time until the first of them takes requests of this host again. The test had 0.3 s before; now between 3 and 5 s where the earliest is 5 s after its refusal.

--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -300,6 +300,17 @@
     return found == candidates.end() ? nullptr : found->upstream;
 }
 
+kernel::duration load_balancer::time_until_open(const kernel::service_name& service, kernel::time_point now) const
+{
+    std::optional<kernel::time_point> first;
+    for (const auto* upstream : directory_.of_service(service)) {
+        if (!upstream->draining) {
+            first = std::min(first.value_or(upstream->closed_until), upstream->closed_until);
+        }
+    }
+    return first ? std::max(kernel::duration::zero(), *first - now) : kernel::duration::zero();
+}
+
 kernel::duration load_balancer::service_latency(const kernel::service_name& service) const
 {
     kernel::duration sum{};
--- a/libraries/proxy/load_balancer.h
+++ b/libraries/proxy/load_balancer.h
@@ -72,6 +72,10 @@
 
     [[nodiscard]] service_summary summarize(const kernel::service_name& service, kernel::time_point now) const;
 
+    /// Time until the first of the service's upstreams takes requests of this host again, if all of them have refused
+    /// for a time that they named; zero otherwise.
+    [[nodiscard]] kernel::duration time_until_open(const kernel::service_name& service, kernel::time_point now) const;
+
     /// Mean latency of the service's upstreams; an assumed value before the first answer.
     [[nodiscard]] kernel::duration service_latency(const kernel::service_name& service) const;
 
--- a/libraries/proxy/request_handler.cpp
+++ b/libraries/proxy/request_handler.cpp
@@ -214,12 +214,18 @@
         return;
     }
     if (chosen.error() == selection_error::none_available) {
-        end_unserved({failure_status(), "no_upstream", overload_retry_after});
+        end_without_upstream(now);
         return;
     }
     enqueue(now);
 }
 
+void request_handler::end_without_upstream(kernel::time_point now)
+{
+    const auto wait = environment_.balancer.time_until_open(service_, now);
+    end_unserved({failure_status(), "no_upstream", std::max<kernel::duration>(wait, overload_retry_after)});
+}
+
 // Queues the request, or refuses it at once if no response in time can be expected.
 void request_handler::enqueue(kernel::time_point now)
 {
@@ -269,7 +275,7 @@
         send_to(**chosen, now);
         return true;
     }
-    end_unserved({failure_status(), "no_upstream", overload_retry_after});
+    end_without_upstream(now);
     return true;
 }
 
--- a/libraries/proxy/request_handler.h
+++ b/libraries/proxy/request_handler.h
@@ -60,6 +60,7 @@
     void start_deadline_timer();
 
     void dispatch();
+    void end_without_upstream(kernel::time_point now);
     void enqueue(kernel::time_point now);
     void start_queue_timer(kernel::time_point now, kernel::duration usual_latency);
     bool dispatch_from_queue();
--- a/tests/proxy/test_upstream_notices.cpp
+++ b/tests/proxy/test_upstream_notices.cpp
@@ -86,6 +86,25 @@
     CHECK(speaking.received.size() > 2);
 }
 
+// Guards against callers that return before any upstream takes their request.
+TEST_CASE_FIXTURE(host_fixture, "upstream notices: all upstreams refuse and name a time: callers are told the earliest")
+{
+    const auto refuse_for = [](const std::string& wait) {
+        return [wait](const http_request& request) {
+            return scripted_response{not_executed_response(request, 503, "Retry-After: " + wait + "\r\n")};
+        };
+    };
+    add_upstream("u1", refuse_for("30"));
+    add_upstream("u2", refuse_for("5"));
+    start();
+    run_until([this] { return call(post_request("r1", "x"))->status == 503 && received_count() == 2; });
+    const auto caller = call(post_request("r2", "x"));
+    CHECK(caller->status == 503);
+    CHECK(std::stod(std::string{caller->headers["Retry-After"]}) > 3);
+    CHECK(std::stod(std::string{caller->headers["Retry-After"]}) <= 5);
+    CHECK(received_count() == 2);
+}
+
 // Guards against an upstream whose wishes are forgotten: its entry expired while it was cut off from the store, and
 // came back.
 TEST_CASE_FIXTURE(balancer_fixture,
