Request handler: Move the admission of requests to a class of its own

Finding the route, checking the key, the quarantine and the rate, and selecting the service are request_admission now, which sets a request_context that the handler uses.

--- /dev/null
+++ b/libraries/proxy/request_admission.cpp
@@ -0,0 +1,123 @@
+#include "libraries/proxy/request_admission.h"
+
+#include "libraries/proxy/message_headers.h"
+#include "libraries/proxy/proxy_events.h"
+
+#include <algorithm>
+
+namespace wisterialane::proxy {
+namespace {
+
+using kernel::line_priority;
+using milliseconds = std::chrono::milliseconds;
+
+/// Time for sending the response to the caller, with a margin.
+constexpr milliseconds response_reserve{25};
+/// Retry-After of requests that are refused because the configuration is missing or stale.
+constexpr milliseconds stale_configuration_retry_after{1000};
+/// Part of the bound on key revocation that is reserved for sending a request to its upstream.
+constexpr milliseconds key_revocation_margin{500};
+
+} // namespace
+
+tl::expected<void, refusal> request_admission::admit(kernel::time_point now)
+{
+    if (const auto found = find_route(now); !found) {
+        return found;
+    }
+    if (const auto known = authenticate(now); !known) {
+        return known;
+    }
+    set_deadline();
+    if (now >= context_.response_deadline) {
+        return tl::unexpected{refusal{503, "no_time_left", std::nullopt}};
+    }
+    if (const auto harmless = check_quarantine(now); !harmless) {
+        return harmless;
+    }
+    return choose_service(now);
+}
+
+// Refuses a request that has crashed several upstreams, because it would crash the next one as well.
+request_admission::check request_admission::check_quarantine(kernel::time_point now)
+{
+    context_.fingerprint = fingerprint_of(request_, context_.customer_name());
+    if (!environment_.quarantine.is_quarantined(context_.fingerprint, now)) {
+        return {};
+    }
+    environment_.log.write(now, line_priority::important, proxy_event::request_blamed,
+                           {{"request", context_.request_id}});
+    return tl::unexpected{refusal{503, "quarantined", std::nullopt}};
+}
+
+request_admission::check request_admission::find_route(kernel::time_point now)
+{
+    context_.table = environment_.routing;
+    if (!context_.table) {
+        return tl::unexpected{refusal{503, "no_configuration", stale_configuration_retry_after}};
+    }
+    const auto target = to_view(request_.target());
+    if (context_.request_id.empty() || target.empty() || target.front() != '/' ||
+        request_.count(boost::beast::http::field::host) != 1) {
+        return tl::unexpected{refusal{400, "malformed", std::nullopt}};
+    }
+    const auto host = normalize_host_name(to_view(request_[boost::beast::http::field::host]));
+    context_.route = context_.table->find_route(host, path_of(target));
+    if (context_.route != nullptr) {
+        return {};
+    }
+    const auto age = environment_.freshness.age(now);
+    if (!age || *age > environment_.age_limits.definitive_refusal) {
+        return tl::unexpected{refusal{503, "configuration_stale", stale_configuration_retry_after}};
+    }
+    return tl::unexpected{refusal{404, "no_route", std::nullopt}};
+}
+
+request_admission::check request_admission::authenticate(kernel::time_point now)
+{
+    if (context_.route->access == configuration::route_access::open || !context_.table->has_customers()) {
+        return {};
+    }
+    const auto age = environment_.freshness.age(now);
+    if (!age || *age + (now - context_.received_at) > environment_.age_limits.key_revocation - key_revocation_margin) {
+        return tl::unexpected{refusal{503, "configuration_stale", stale_configuration_retry_after}};
+    }
+    if (request_.count(environment_.names.key) == 1) {
+        context_.customer = context_.table->find_customer(to_view(request_[environment_.names.key]));
+    }
+    if (context_.customer != nullptr) {
+        return {};
+    }
+    if (*age > environment_.age_limits.definitive_refusal) {
+        return tl::unexpected{refusal{503, "configuration_stale", stale_configuration_retry_after}};
+    }
+    return tl::unexpected{refusal{401, "unknown_key", std::nullopt}};
+}
+
+// Selects the service first: a stopping host estimates by its latency whether the request would end in time.
+request_admission::check request_admission::choose_service(kernel::time_point now)
+{
+    context_.service = environment_.service_selector.next(*context_.route);
+    if (environment_.stop.stopping() &&
+        !environment_.stop.accepts_request(now, environment_.balancer.service_latency(context_.service))) {
+        return tl::unexpected{refusal{503, "stopping", overload_retry_after}};
+    }
+    if (context_.customer != nullptr) {
+        if (const auto wait = environment_.quota.admit(context_.customer->name, now)) {
+            return tl::unexpected{refusal{429, "rate", *wait}};
+        }
+        if (environment_.report_admissions) {
+            environment_.report_admissions();
+        }
+    }
+    return {};
+}
+
+void request_admission::set_deadline()
+{
+    const auto caller_timeout = read_deadline(request_, environment_.names).value_or(context_.route->timeout);
+    context_.response_deadline =
+        context_.received_at + std::min(caller_timeout, context_.route->timeout) - response_reserve;
+}
+
+} // namespace wisterialane::proxy
--- a/libraries/proxy/request_handler.cpp
+++ b/libraries/proxy/request_handler.cpp
@@ -10,13 +10,6 @@
 using kernel::line_priority;
 using milliseconds = std::chrono::milliseconds;
 
-/// Time for sending the response to the caller, with a margin.
-constexpr milliseconds response_reserve{25};
-/// Retry-After of requests that are refused because the configuration is missing or stale.
-constexpr milliseconds stale_configuration_retry_after{1000};
-constexpr milliseconds overload_retry_after{300};
-/// Part of the bound on key revocation that is reserved for sending a request to its upstream.
-constexpr milliseconds key_revocation_margin{500};
 constexpr milliseconds connect_timeout{400};
 /// A second attempt starts when the first takes this many times the usual latency of the service.
 constexpr int hedge_factor = 3;
@@ -58,10 +51,10 @@
 } // namespace
 
 request_handler::request_handler(request_environment& environment, std::shared_ptr<caller_session> session)
-    : environment_{environment}, session_{std::move(session)}, received_at_{session_->received_at()},
-      deadline_timer_{environment.context.get_executor()}, hedge_timer_{environment.context.get_executor()},
-      queue_timer_{environment.context.get_executor()}
+    : environment_{environment}, session_{std::move(session)}, deadline_timer_{environment.context.get_executor()},
+      hedge_timer_{environment.context.get_executor()}, queue_timer_{environment.context.get_executor()}
 {
+    context_.received_at = session_->received_at();
     environment_.active_requests.insert(this);
 }
 
@@ -73,128 +66,29 @@
 void request_handler::start()
 {
     const auto now = environment_.clock();
-    request_id_ = to_view(session_->request()[environment_.names.request_id]);
-    if (const auto admitted = admit(now); !admitted) {
+    context_.request_id = to_view(session_->request()[environment_.names.request_id]);
+    request_admission admission{environment_, session_->request(), context_};
+    if (const auto admitted = admission.admit(now); !admitted) {
         refuse(admitted.error());
         return;
     }
+    selection_.service = context_.service;
+    selection_.repeatable = is_repeatable();
+    plan_ = attempt_plan{context_.route->maximum_attempts, is_repeatable()};
     session_->on_disconnect([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->on_caller_disconnect();
         }
     });
     start_deadline_timer();
-    environment_.retry_budget.record_request(service_, now);
-    environment_.results.record_demand(service_, environment_.balancer.service_latency(service_), now);
+    environment_.retry_budget.record_request(context_.service, now);
+    environment_.results.record_demand(context_.service, environment_.balancer.service_latency(context_.service), now);
     dispatch();
 }
 
-request_handler::check request_handler::admit(kernel::time_point now)
-{
-    if (const auto found = find_route(now); !found) {
-        return found;
-    }
-    if (const auto known = authenticate(now); !known) {
-        return known;
-    }
-    set_deadline();
-    if (now >= response_deadline_) {
-        return tl::unexpected{refusal{503, "no_time_left", std::nullopt}};
-    }
-    if (const auto harmless = check_quarantine(now); !harmless) {
-        return harmless;
-    }
-    return choose_service(now);
-}
-
-// Refuses a request that has crashed several upstreams, because it would crash the next one as well.
-request_handler::check request_handler::check_quarantine(kernel::time_point now)
-{
-    fingerprint_ = fingerprint_of(session_->request(), customer_name());
-    if (!environment_.quarantine.is_quarantined(fingerprint_, now)) {
-        return {};
-    }
-    environment_.log.write(now, line_priority::important, proxy_event::request_blamed, {{"request", request_id_}});
-    return tl::unexpected{refusal{503, "quarantined", std::nullopt}};
-}
-
-request_handler::check request_handler::find_route(kernel::time_point now)
-{
-    const auto& request = session_->request();
-    table_ = environment_.routing;
-    if (!table_) {
-        return tl::unexpected{refusal{503, "no_configuration", stale_configuration_retry_after}};
-    }
-    const auto target = to_view(request.target());
-    if (request_id_.empty() || target.empty() || target.front() != '/' ||
-        request.count(boost::beast::http::field::host) != 1) {
-        return tl::unexpected{refusal{400, "malformed", std::nullopt}};
-    }
-    const auto host = normalize_host_name(to_view(request[boost::beast::http::field::host]));
-    route_ = table_->find_route(host, path_of(target));
-    if (route_ != nullptr) {
-        return {};
-    }
-    const auto age = environment_.freshness.age(now);
-    if (!age || *age > environment_.age_limits.definitive_refusal) {
-        return tl::unexpected{refusal{503, "configuration_stale", stale_configuration_retry_after}};
-    }
-    return tl::unexpected{refusal{404, "no_route", std::nullopt}};
-}
-
-request_handler::check request_handler::authenticate(kernel::time_point now)
-{
-    if (route_->access == configuration::route_access::open || !table_->has_customers()) {
-        return {};
-    }
-    const auto age = environment_.freshness.age(now);
-    if (!age || *age + (now - received_at_) > environment_.age_limits.key_revocation - key_revocation_margin) {
-        return tl::unexpected{refusal{503, "configuration_stale", stale_configuration_retry_after}};
-    }
-    const auto& request = session_->request();
-    if (request.count(environment_.names.key) == 1) {
-        customer_ = table_->find_customer(to_view(request[environment_.names.key]));
-    }
-    if (customer_ != nullptr) {
-        return {};
-    }
-    if (*age > environment_.age_limits.definitive_refusal) {
-        return tl::unexpected{refusal{503, "configuration_stale", stale_configuration_retry_after}};
-    }
-    return tl::unexpected{refusal{401, "unknown_key", std::nullopt}};
-}
-
-// Selects the service first: a stopping host estimates by its latency whether the request would end in time.
-request_handler::check request_handler::choose_service(kernel::time_point now)
-{
-    service_ = environment_.service_selector.next(*route_);
-    if (environment_.stop.stopping() &&
-        !environment_.stop.accepts_request(now, environment_.balancer.service_latency(service_))) {
-        return tl::unexpected{refusal{503, "stopping", overload_retry_after}};
-    }
-    if (customer_ != nullptr) {
-        if (const auto wait = environment_.quota.admit(customer_->name, now)) {
-            return tl::unexpected{refusal{429, "rate", *wait}};
-        }
-        if (environment_.report_admissions) {
-            environment_.report_admissions();
-        }
-    }
-    selection_.service = service_;
-    selection_.repeatable = is_repeatable();
-    plan_ = attempt_plan{route_->maximum_attempts, is_repeatable()};
-    return {};
-}
-
-void request_handler::set_deadline()
-{
-    const auto caller_timeout = read_deadline(session_->request(), environment_.names).value_or(route_->timeout);
-    response_deadline_ = received_at_ + std::min(caller_timeout, route_->timeout) - response_reserve;
-}
-
 void request_handler::start_deadline_timer()
 {
-    deadline_timer_.expires_after(response_deadline_ - environment_.clock());
+    deadline_timer_.expires_after(context_.response_deadline - environment_.clock());
     deadline_timer_.async_wait([self = shared_from_this()](error_code cancelled) {
         if (!cancelled && !self->ended_) {
             self->on_deadline();
@@ -222,34 +116,34 @@
 
 void request_handler::end_without_upstream(kernel::time_point now)
 {
-    const auto wait = environment_.balancer.time_until_open(service_, now);
+    const auto wait = environment_.balancer.time_until_open(context_.service, now);
     end_unserved({failure_status(), "no_upstream", std::max<kernel::duration>(wait, overload_retry_after)});
 }
 
 // Queues the request, or refuses it at once if no response in time can be expected.
 void request_handler::enqueue(kernel::time_point now)
 {
-    const int customer_priority = customer_ == nullptr ? 0 : customer_->priority;
+    const int customer_priority = context_.customer == nullptr ? 0 : context_.customer->priority;
     queue_state state;
-    state.usual_latency = environment_.balancer.service_latency(service_);
-    state.ahead = queue().count_ahead_of(customer_priority, route_->priority);
-    for (const auto* candidate : environment_.upstreams.of_service(service_)) {
+    state.usual_latency = environment_.balancer.service_latency(context_.service);
+    state.ahead = queue().count_ahead_of(customer_priority, context_.route->priority);
+    for (const auto* candidate : environment_.upstreams.of_service(context_.service)) {
         state.in_flight += candidate->in_flight.size();
     }
-    if (!should_wait(state, response_deadline_ - now)) {
+    if (!should_wait(state, context_.response_deadline - now)) {
         const auto retry_after = std::max<kernel::duration>(expected_wait(state), overload_retry_after);
         end_unserved({failure_status(), "overloaded", retry_after});
         return;
     }
     queued_at_ = now;
     start_queue_timer(now, state.usual_latency);
-    ticket_ = queue().push({customer_priority, route_->priority, customer_name(),
+    ticket_ = queue().push({customer_priority, context_.route->priority, context_.customer_name(),
                             [self = shared_from_this()] { return self->dispatch_from_queue(); }});
 }
 
 void request_handler::start_queue_timer(kernel::time_point now, kernel::duration usual_latency)
 {
-    queue_timer_.expires_after(response_deadline_ - minimum_dispatch_time(usual_latency) - now);
+    queue_timer_.expires_after(context_.response_deadline - minimum_dispatch_time(usual_latency) - now);
     queue_timer_.async_wait([self = shared_from_this()](error_code cancelled) {
         if (!cancelled && !self->ended_ && self->ticket_) {
             self->end_unserved({self->failure_status(), "overloaded", overload_retry_after});
@@ -295,16 +189,16 @@
         dispatch();
         return;
     }
-    const auto remaining = std::chrono::duration_cast<milliseconds>(response_deadline_ - now);
+    const auto remaining = std::chrono::duration_cast<milliseconds>(context_.response_deadline - now);
     exchange_request request;
     request.upstream = chosen.record.id;
     request.address = *address;
-    request.request_id = request_id_;
+    request.request_id = context_.request_id;
     request.method = session_->request().method();
     request.connect_timeout = std::min(connect_timeout, std::max(milliseconds{1}, remaining));
     request.body = session_->request().body();
-    request.head =
-        head_for_upstream(session_->request(), environment_.names, {chosen.record.id, remaining, customer_name()});
+    request.head = head_for_upstream(session_->request(), environment_.names,
+                                     {chosen.record.id, remaining, context_.customer_name()});
     attempt next{chosen.record.id,
                  std::make_shared<upstream_exchange>(environment_.context, environment_.connections, environment_.names,
                                                      environment_.clock),
@@ -326,9 +220,9 @@
     if (!plan_.may_hedge()) {
         return;
     }
-    const auto usual = environment_.balancer.service_latency(service_);
+    const auto usual = environment_.balancer.service_latency(context_.service);
     const auto delay = std::max<kernel::duration>(minimum_hedge_delay, hedge_factor * usual);
-    if (now + delay + usual > response_deadline_) {
+    if (now + delay + usual > context_.response_deadline) {
         return;
     }
     hedge_timer_.expires_after(delay);
@@ -346,7 +240,7 @@
         return;
     }
     const auto chosen = environment_.balancer.choose(selection_, now);
-    if (chosen && environment_.retry_budget.try_consume(service_, now)) {
+    if (chosen && environment_.retry_budget.try_consume(context_.service, now)) {
         send_to(**chosen, now);
     }
 }
@@ -425,22 +319,22 @@
             const auto event = was_trusted ? proxy_event::upstream_suspected : proxy_event::upstream_trusted;
             environment_.log.write(now, line_priority::important, event,
                                    {{"upstream", ended.upstream.value()},
-                                    {"service", service_.value()},
+                                    {"service", context_.service.value()},
                                     {"outcome", std::string{to_name(outcome)}},
-                                    {"request", request_id_}});
+                                    {"request", context_.request_id}});
         }
     }
     if (result.end == exchange_end::response_received) {
         record_response(ended, result.response, now);
     }
     if (outcome == exchange_outcome::good) {
-        environment_.quarantine.record_success(fingerprint_, now);
+        environment_.quarantine.record_success(context_.fingerprint, now);
         share_evidence(ended, outcome, result, now);
         return;
     }
     environment_.log.write(now, line_priority::important, proxy_event::attempt_failed,
-                           {{"request", request_id_},
-                            {"route", route_->name.value()},
+                           {{"request", context_.request_id},
+                            {"route", context_.route->name.value()},
                             {"upstream", ended.upstream.value()},
                             {"trust", std::string{to_name(ended.trust_at_start)}},
                             {"outcome", std::string{to_name(outcome)}},
@@ -474,20 +368,20 @@
 {
     const bool crashed = outcome == exchange_outcome::broken && result.end == exchange_end::closed;
     if (crashed) {
-        environment_.quarantine.record({fingerprint_, ended.upstream}, now);
+        environment_.quarantine.record({context_.fingerprint, ended.upstream}, now);
     }
     if (environment_.share_evidence) {
-        environment_.share_evidence({ended.upstream, outcome, crashed ? fingerprint_ : 0, std::nullopt},
+        environment_.share_evidence({ended.upstream, outcome, crashed ? context_.fingerprint : 0, std::nullopt},
                                     ended.trust_at_start);
     }
 }
 
 bool request_handler::may_retry(kernel::time_point now)
 {
-    if (now >= response_deadline_ || !plan_.may_retry()) {
+    if (now >= context_.response_deadline || !plan_.may_retry()) {
         return false;
     }
-    return !plan_.retry_uses_budget() || environment_.retry_budget.try_consume(service_, now);
+    return !plan_.retry_uses_budget() || environment_.retry_budget.try_consume(context_.service, now);
 }
 
 void request_handler::respond_or_retry(exchange_outcome outcome, exchange_result result, kernel::time_point now)
@@ -552,7 +446,7 @@
     }
     const auto now = environment_.clock();
     environment_.log.write(now, line_priority::routine, proxy_event::caller_left,
-                           {{"request", request_id_}, {"elapsed_ms", to_text(now - received_at_)}});
+                           {{"request", context_.request_id}, {"elapsed_ms", to_text(now - context_.received_at)}});
     cancel_attempts(exchange_outcome::neutral);
     session_->abort();
     finish(caller_disconnected);
@@ -567,7 +461,8 @@
         return;
     }
     const auto now = environment_.clock();
-    const auto usual = route_ == nullptr ? kernel::duration{} : environment_.balancer.service_latency(service_);
+    const auto usual =
+        context_.route == nullptr ? kernel::duration{} : environment_.balancer.service_latency(context_.service);
     auto cancelled = std::move(attempts_);
     attempts_.clear();
     for (const auto& open_attempt : cancelled) {
@@ -587,23 +482,23 @@
     const auto now = environment_.clock();
     if (!is_success(from_upstream.status)) {
         environment_.log.write(now, line_priority::important, proxy_event::request_failed,
-                               {{"request", request_id_},
-                                {"route", route_->name.value()},
-                                {"version", std::to_string(table_->version().value())},
+                               {{"request", context_.request_id},
+                                {"route", context_.route->name.value()},
+                                {"version", std::to_string(context_.table->version().value())},
                                 {"status", std::to_string(from_upstream.status)},
                                 {"reason", "answer_of_upstream"},
                                 {"upstream", responding_upstream_.value()},
                                 {"sends", std::to_string(plan_.attempts())},
-                                {"elapsed_ms", to_text(now - received_at_)}});
+                                {"elapsed_ms", to_text(now - context_.received_at)}});
     }
     else {
         environment_.log.write(now, line_priority::routine, proxy_event::request_served,
-                               {{"request", request_id_},
-                                {"route", route_->name.value()},
-                                {"version", std::to_string(table_->version().value())},
+                               {{"request", context_.request_id},
+                                {"route", context_.route->name.value()},
+                                {"version", std::to_string(context_.table->version().value())},
                                 {"upstream", responding_upstream_.value()},
                                 {"sends", std::to_string(plan_.attempts())},
-                                {"elapsed_ms", to_text(now - received_at_)}});
+                                {"elapsed_ms", to_text(now - context_.received_at)}});
     }
     caller_response response;
     response.status = from_upstream.status;
@@ -620,19 +515,19 @@
     const auto age = environment_.freshness.age(now);
     environment_.log.write(now, line_priority::important,
                            plan_.may_have_run() ? proxy_event::request_failed : proxy_event::request_refused,
-                           {{"request", request_id_},
-                            {"route", route_ == nullptr ? "" : route_->name.value()},
-                            {"customer", customer_name().value()},
+                           {{"request", context_.request_id},
+                            {"route", context_.route == nullptr ? "" : context_.route->name.value()},
+                            {"customer", context_.customer_name().value()},
                             {"status", std::to_string(cause.status)},
                             {"reason", std::string{cause.reason}},
-                            {"version", table_ ? std::to_string(table_->version().value()) : "0"},
+                            {"version", context_.table ? std::to_string(context_.table->version().value()) : "0"},
                             {"age_ms", age ? to_text(*age) : "unknown"},
                             {"sends", std::to_string(plan_.attempts())},
-                            {"elapsed_ms", to_text(now - received_at_)}});
+                            {"elapsed_ms", to_text(now - context_.received_at)}});
     caller_response response;
     response.status = cause.status;
-    if (!request_id_.empty()) {
-        response.headers.emplace_back(environment_.names.request_id, request_id_);
+    if (!context_.request_id.empty()) {
+        response.headers.emplace_back(environment_.names.request_id, context_.request_id);
     }
     if (cause.retry_after && (cause.status == 503 || cause.status == 429)) {
         response.headers.emplace_back("Retry-After", retry_after_text(*cause.retry_after));
@@ -650,11 +545,11 @@
     hedge_timer_.cancel();
     queue_timer_.cancel();
     const auto now = environment_.clock();
-    if (!service_.value().empty()) {
+    if (!context_.service.value().empty()) {
         const auto unserved = outcome == caller_disconnected ? request_result::disconnected : request_result::unserved;
-        environment_.results.record(service_, outcome == served ? request_result::served : unserved, now);
+        environment_.results.record(context_.service, outcome == served ? request_result::served : unserved, now);
     }
-    environment_.metrics.record_request(customer_name(), outcome, now - received_at_);
+    environment_.metrics.record_request(context_.customer_name(), outcome, now - context_.received_at);
 }
 
 } // namespace wisterialane::proxy
--- a/libraries/proxy/request_handler.h
+++ b/libraries/proxy/request_handler.h
@@ -2,6 +2,7 @@
 
 #include "libraries/proxy/attempt_plan.h"
 #include "libraries/proxy/message_headers.h"
+#include "libraries/proxy/request_admission.h"
 #include "libraries/proxy/request_environment.h"
 #include "libraries/proxy/upstream_exchange.h"
 
@@ -13,8 +14,8 @@
 
 namespace wisterialane::proxy {
 
-/// Handles one request of a caller: finds its route, checks its key and rate, sends it to an upstream with retries and
-/// responds. Pending operations keep the object alive.
+/// Handles one request of a caller: if it is admitted, sends it to an upstream with retries, and responds. Pending
+/// operations keep the object alive.
 class request_handler : public std::enable_shared_from_this<request_handler> {
 public:
     request_handler(request_environment& environment, std::shared_ptr<caller_session> session);
@@ -39,24 +40,9 @@
         trust trust_at_start = trust::trusted;
     };
 
-    /// A response of this host itself, with its cause.
-    struct refusal {
-        unsigned status = 503;
-        std::string_view reason;
-        std::optional<kernel::duration> retry_after;
-    };
-
-    using check = tl::expected<void, refusal>;
-
-    [[nodiscard]] check admit(kernel::time_point now);
-    [[nodiscard]] check find_route(kernel::time_point now);
-    [[nodiscard]] check authenticate(kernel::time_point now);
-    [[nodiscard]] check choose_service(kernel::time_point now);
-    [[nodiscard]] check check_quarantine(kernel::time_point now);
     void record_response(const attempt& ended, const upstream_response& response, kernel::time_point now);
     void share_evidence(const attempt& ended, exchange_outcome outcome, const exchange_result& result,
                         kernel::time_point now);
-    void set_deadline();
     void start_deadline_timer();
 
     void dispatch();
@@ -87,28 +73,16 @@
     void refuse(const refusal& cause);
     void finish(std::string_view outcome);
 
-    [[nodiscard]] bool is_repeatable() const { return route_->semantics == configuration::route_semantics::idempotent; }
-
-    /// Empty on open routes.
-    [[nodiscard]] kernel::customer_name customer_name() const
+    [[nodiscard]] bool is_repeatable() const
     {
-        return customer_ == nullptr ? kernel::customer_name{} : customer_->name;
+        return context_.route->semantics == configuration::route_semantics::idempotent;
     }
 
-    [[nodiscard]] request_queue& queue() { return environment_.queues[service_]; }
+    [[nodiscard]] request_queue& queue() { return environment_.queues[context_.service]; }
 
     request_environment& environment_;
     std::shared_ptr<caller_session> session_;
-    /// Keeps `route_` and `customer_` valid after a newer configuration was applied.
-    std::shared_ptr<const routing_table> table_;
-    const traffic_route* route_ = nullptr;
-    const traffic_customer* customer_ = nullptr;
-    kernel::service_name service_;
-    std::string request_id_;
-    std::uint64_t fingerprint_ = 0;
-    kernel::time_point received_at_;
-    /// The host responds by then with what it has.
-    kernel::time_point response_deadline_;
+    request_context context_;
     selection_request selection_;
     std::vector<attempt> attempts_;
     /// The upstream that sent the last complete response.
