--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -216,7 +216,8 @@
         upstreams, selection.strained ? strained_maximum_ejected_fraction : maximum_ejected_fraction, now);
     for (auto* upstream : upstreams) {
         auto state = trust_of(*upstream, selection.mean_latency, now);
-        if (state != trust::trusted && upstream->health.state(now) != trust::trusted && !upstream->missing) {
+        const bool is_last_resort = upstream->missing || is_stuck(*upstream, selection.mean_latency, now);
+        if (state != trust::trusted && !is_last_resort) {
             state = may_be_tried(*upstream, released.contains(upstream->record.id), selection) ? trust::trial
                                                                                                : trust::suspected;
         }
--- a/tests/proxy/test_load_balancer.cpp
+++ b/tests/proxy/test_load_balancer.cpp
@@ -288,6 +288,21 @@
     CHECK((*trial)->record.id == kernel::upstream_name{"here3"});
 }
 
+// Guards against requests that wait for the end of an exchange that hangs, while the upstream may be used as the last
+// resort.
+TEST_CASE_FIXTURE(balancer_fixture,
+                  "load_balancer: only upstream is on trial and its exchange hangs: is the last resort")
+{
+    add_upstreams(1);
+    upstream_by_id("here0").health.record(exchange_outcome::broken, now);
+    now += seconds{5};
+    upstream_by_id("here0").in_flight.insert(now);
+    now += seconds{3};
+    const auto chosen = balancer.choose(request, now);
+    REQUIRE(chosen);
+    CHECK((*chosen)->record.id == kernel::upstream_name{"here0"});
+}
+
 // Guards against hosts with few callers that serve none of them.
 TEST_CASE_FIXTURE(balancer_fixture,
                   "load_balancer: hardly any demand at this host: it still has two requests in flight")
