Request handler: Weigh good answers as evidence only after a trial

Every good answer asked the peer directory whether this host is active, although only good answers on trial can be of use to others. No behaviour changes.

--- a/libraries/proxy/request_handler.cpp
+++ b/libraries/proxy/request_handler.cpp
@@ -329,7 +329,9 @@
     }
     if (outcome == exchange_outcome::good) {
         environment_.quarantine.record_success(context_.fingerprint, now);
-        share_evidence(ended, outcome, result, now);
+        if (ended.trust_at_start != trust::trusted) {
+            share_evidence(ended, outcome, result, now);
+        }
         return;
     }
     environment_.log.write(now, line_priority::important, proxy_event::attempt_failed,
