Load balancer: Refuse a request that was sent to all upstreams, also if one of them is at its limit

Now the upstreams to which the request was sent are left out before the limits are looked at. The new test returned "all at limit" before and "none available" now.

--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -175,7 +175,7 @@
                                  const selection_state& selection) const
 {
     const auto delay =
-        released ? minimum_ejection_time : (selection.is_repeatable_trial ? repeatable_trial_delay : trial_delay);
+        released ? minimum_ejection_time : (selection.is_repeatable_trial() ? repeatable_trial_delay : trial_delay);
     const auto turn = selection.now - upstream.health.suspected_since() - delay;
     if (turn < kernel::duration::zero()) {
         return false;
@@ -225,6 +225,9 @@
             lists.trusted_in_flight += upstream->in_flight.size();
             lists.trusted_slots += upstream->record.slots;
         }
+        if (selection.request.excluded.contains(upstream->record.id)) {
+            continue;
+        }
         const auto limit = state == trust::trial ? 1 : request_limit(*upstream);
         if (upstream->in_flight.size() >= limit) {
             lists.some_at_limit = lists.some_at_limit || state != trust::suspected;
@@ -258,18 +261,11 @@
     auto upstreams = directory_.of_service(request.service);
     std::erase_if(upstreams, [this, now](const auto* upstream) { return !is_available(*upstream, now); });
     const auto mean_latency = std::max(service_latency(request.service), kernel::duration{1});
-    const bool is_repeatable_trial = request.repeatable && request.excluded.empty();
-    auto candidates =
-        classify(upstreams, {mean_latency, results_.is_strained(request.service, now), is_repeatable_trial, now});
-    const auto is_excluded = [&request](const auto& entry) {
-        return request.excluded.contains(entry.upstream->record.id);
-    };
-    std::erase_if(candidates.trusted, is_excluded);
-    std::erase_if(candidates.on_trial, is_excluded);
-    std::erase_if(candidates.suspected, is_excluded);
+    const selection_state selection{request, mean_latency, results_.is_strained(request.service, now), now};
+    auto candidates = classify(upstreams, selection);
     // A failed trial of a repeatable request costs its caller little. Only every second such request is a trial, so
     // that the trusted upstreams also receive requests.
-    const bool may_be_trial = is_repeatable_trial && ++trial_candidates_ % 2 == 0;
+    const bool may_be_trial = selection.is_repeatable_trial() && ++trial_candidates_ % 2 == 0;
     if (may_be_trial && !candidates.on_trial.empty()) {
         return cheapest(candidates.on_trial);
     }
--- a/libraries/proxy/load_balancer.h
+++ b/libraries/proxy/load_balancer.h
@@ -85,7 +85,7 @@
         double cost = 0;
     };
 
-    /// Upstreams below their request limit, by health.
+    /// Upstreams below their request limit to which the request may be sent, by health.
     struct candidate_lists {
         std::vector<candidate> trusted;
         std::vector<candidate> on_trial;
@@ -100,11 +100,13 @@
 
     /// A request of one service at the time of its selection.
     struct selection_state {
+        const selection_request& request;
         kernel::duration mean_latency{};
         bool strained = false;
-        /// The request may be the trial of an upstream at no cost for its caller.
-        bool is_repeatable_trial = false;
         kernel::time_point now;
+
+        /// Whether the request may be the trial of an upstream at no cost for its caller.
+        [[nodiscard]] bool is_repeatable_trial() const { return request.repeatable && request.excluded.empty(); }
     };
 
     [[nodiscard]] candidate_lists classify(const std::vector<tracked_upstream*>& upstreams,
--- a/tests/proxy/test_load_balancer.cpp
+++ b/tests/proxy/test_load_balancer.cpp
@@ -303,6 +303,20 @@
     CHECK((*chosen)->record.id == kernel::upstream_name{"here0"});
 }
 
+// Guards against a request that waits in the queue although it may be sent to no upstream any more.
+TEST_CASE_FIXTURE(balancer_fixture,
+                  "load_balancer: request was sent to all upstreams, one is at its limit: none is left")
+{
+    add_upstreams(2);
+    for (int count = 0; count < 3; ++count) {
+        upstream_by_id("here0").in_flight.insert(now);
+    }
+    request.excluded = {kernel::upstream_name{"here0"}, kernel::upstream_name{"here1"}};
+    const auto refused = balancer.choose(request, now);
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error() == selection_error::none_available);
+}
+
 // Guards against hosts with few callers that serve none of them.
 TEST_CASE_FIXTURE(balancer_fixture,
                   "load_balancer: hardly any demand at this host: it still has two requests in flight")
