--- a/tests/proxy/test_customer_quota.cpp
+++ b/tests/proxy/test_customer_quota.cpp
@@ -95,14 +95,20 @@
         send_reports_if_due(now);
     }
 
-    /// Restarts the process of a host; a host that has received all reports sends it the fill levels.
-    void restart(std::size_t index, kernel::time_point now)
+    /// Starts a new process of a host, which has received no reports.
+    void start_process(std::size_t index, kernel::time_point now)
     {
         hosts[index] = customer_quota{};
         reported[index] = 0;
         hosts[index].set_active_host_count(hosts.size(), false);
         hosts[index].set_tolerated_excess(20);
         hosts[index].configure({settings}, now);
+    }
+
+    /// Restarts the process of a host; a host that has received all reports sends it the fill levels.
+    void restart(std::size_t index, kernel::time_point now)
+    {
+        start_process(index, now);
         hosts[index].apply_remote_levels(hosts[(index + 1) % hosts.size()].levels(now), now);
     }
 
@@ -111,12 +117,8 @@
     {
         pending_reports.clear();
         for (std::size_t index = 0; index < hosts.size(); ++index) {
-            hosts[index] = customer_quota{};
-            reported[index] = 0;
+            start_process(index, now);
             reported_at[index] = now;
-            hosts[index].set_active_host_count(hosts.size(), false);
-            hosts[index].set_tolerated_excess(20);
-            hosts[index].configure({settings}, now);
         }
     }
 
--- a/tests/proxy/test_upstream_notices.cpp
+++ b/tests/proxy/test_upstream_notices.cpp
@@ -20,6 +20,15 @@
         return refuses ? not_executed_response(request, 503, headers) : signed_response(request, "ok", 200, headers);
     }
 
+    /// Sends requests one after the other until the speaking upstream has responded to one; all must be served.
+    void call_until_heard()
+    {
+        run_until([this] {
+            REQUIRE(call(get_request("r"))->status == 200);
+            return !speaking.received.empty();
+        });
+    }
+
     /// Sends requests one after the other for this time; all must be served.
     void call_for(std::chrono::milliseconds time)
     {
@@ -58,10 +67,7 @@
 {
     headers = "X-Leaving: 1\r\n";
     start();
-    run_until([this] {
-        REQUIRE(call(get_request("r"))->status == 200);
-        return !speaking.received.empty();
-    });
+    call_until_heard();
     call_for(std::chrono::milliseconds{500});
     CHECK(speaking.received.size() == 1);
 }
@@ -74,10 +80,7 @@
     refuses = true;
     headers = "Retry-After: 1.5\r\n";
     start();
-    run_until([this] {
-        REQUIRE(call(get_request("r"))->status == 200);
-        return !speaking.received.empty();
-    });
+    call_until_heard();
     call_for(std::chrono::milliseconds{1200});
     CHECK(speaking.received.size() == 1);
     refuses = false;
