Caller session: Serve pipelined requests

Callers may send further repeatable requests before the first is answered.

The session reads on while requests are in progress. Repeatable requests of a connection begin together, eight at most and 256 KB of bodies; one that must not be repeated begins when all earlier ones are answered. Responses go out in order. The time spent waiting for earlier requests is a histogram.

--- a/libraries/proxy/caller_session.cpp
+++ b/libraries/proxy/caller_session.cpp
@@ -1,9 +1,12 @@
 #include "libraries/proxy/caller_session.h"
 
+#include <algorithm>
 #include <array>
+#include <numeric>
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 
 namespace wisterialane::proxy {
@@ -11,7 +14,14 @@
 
 namespace http = boost::beast::http;
 
-constexpr std::size_t read_buffer_bytes = 4096;
+constexpr std::size_t read_bytes = 4096;
+constexpr std::size_t body_read_bytes = 16384;
+/// Requests of one connection that are held at once. Further ones stay in the read buffer.
+constexpr std::size_t maximum_held_requests = 8;
+/// While the bodies of a connection's requests and responses exceed this size, no further request begins.
+constexpr std::size_t maximum_held_bytes = std::size_t{256} * 1024;
+/// Bytes that are read ahead of the held requests, so that the end of the connection is detected.
+constexpr std::size_t maximum_read_ahead_bytes = std::size_t{64} * 1024;
 /// The connection is closed if a request's body takes longer; callers have timeouts of their own.
 constexpr std::chrono::seconds body_timeout{30};
 constexpr std::chrono::seconds write_timeout{15};
@@ -31,229 +41,420 @@
     return 400;
 }
 
-bool is_protocol_error(error_code reason)
+bool has_body(unsigned status, http::verb method)
 {
-    return reason.category() == http::make_error_code(http::error::bad_method).category() &&
-           reason != http::error::end_of_stream && reason != http::error::partial_message;
+    return method != http::verb::head && status != 204 && status != 304;
 }
 
-bool has_body(unsigned status, http::verb method)
+std::string render_head(const caller_response& response, bool with_body, bool close)
 {
-    return method != http::verb::head && status != 204 && status != 304;
+    std::string head = "HTTP/1.1 " + std::to_string(response.status) + " ";
+    head += http::obsolete_reason(static_cast<http::status>(response.status)).to_string();
+    head += "\r\n";
+    for (const auto& [name, value] : response.headers) {
+        head.append(name).append(": ").append(value).append("\r\n");
+    }
+    if (with_body) {
+        head += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+    }
+    head += close ? "Connection: close\r\n\r\n" : "\r\n";
+    return head;
 }
 
 } // namespace
 
 caller_session::caller_session(tcp_stream::socket_type socket, std::shared_ptr<const session_hooks> hooks)
-    : stream_{std::move(socket)}, hooks_{std::move(hooks)}
+    : socket_{std::move(socket)}, input_timer_{socket_.get_executor()},
+      output_timer_{socket_.get_executor()}, hooks_{std::move(hooks)}
 {
-    set_connection_options(stream_.socket(), tcp_user_timeout);
+    set_connection_options(socket_, tcp_user_timeout);
+    error_code ignored;
+    socket_.non_blocking(true, ignored);
 }
 
 caller_session::~caller_session() = default;
 
 void caller_session::start()
 {
-    await_request();
+    set_input_timeout();
+    await_input();
 }
 
-void caller_session::await_request()
+// Input is always awaited, also while requests are in progress, so that the end of the connection is detected. The
+// buffer is not passed to an asynchronous read, because requests are parsed and removed from it meanwhile.
+void caller_session::await_input()
 {
-    idle_ = buffer_.size() == 0;
-    responding_ = false;
-    on_disconnect_ = nullptr;
-    request_ = {};
-    parser_.emplace();
-    if (!idle_) {
-        received_at_ = hooks_->clock();
-        read_header();
+    if (awaiting_input_ || closed_ || input_closed_) {
         return;
     }
-    stream_.expires_after(hooks_->limits().idle_timeout);
-    stream_.async_read_some(buffer_.prepare(read_buffer_bytes),
-                            [self = shared_from_this()](error_code error, std::size_t count) {
-                                if (error || self->aborted_) {
-                                    return;
-                                }
-                                self->buffer_.commit(count);
-                                self->idle_ = false;
-                                self->received_at_ = self->hooks_->clock();
-                                self->read_header();
-                            });
-}
-
-void caller_session::read_header()
-{
-    const auto limits = hooks_->limits();
-    parser_->header_limit(static_cast<std::uint32_t>(limits.maximum_header_bytes));
-    parser_->body_limit(limits.maximum_body_bytes);
-    stream_.expires_after(limits.header_timeout);
-    http::async_read_header(stream_, buffer_, *parser_, [self = shared_from_this()](error_code error, std::size_t) {
-        if (error) {
-            self->reject(error);
-            return;
+    if (!may_receive_request() && buffer_.size() >= maximum_read_ahead_bytes) {
+        return;
+    }
+    awaiting_input_ = true;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+        self->awaiting_input_ = false;
+        if (!error && !self->closed_) {
+            self->read();
         }
-        self->read_body();
     });
 }
 
-void caller_session::read_body()
+void caller_session::read()
+{
+    error_code error;
+    const auto count = socket_.read_some(buffer_.prepare(reading_body_ ? body_read_bytes : read_bytes), error);
+    if (error && error != boost::asio::error::would_block) {
+        on_input_end();
+        return;
+    }
+    if (input_complete_) {
+        // The bytes of later requests are not handled; they are read to detect the end of the connection.
+        await_input();
+        return;
+    }
+    buffer_.commit(count);
+    last_read_at_ = hooks_->clock();
+    parse();
+    await_input();
+}
+
+// A caller that closes its side waits for no response that is not yet being sent.
+void caller_session::on_input_end()
+{
+    input_closed_ = true;
+    const bool all_answered = std::all_of(exchanges_.begin(), exchanges_.end(),
+                                          [](const auto& exchange) { return exchange->response_.has_value(); });
+    if (exchanges_.empty() || !all_answered) {
+        disconnect();
+    }
+}
+
+void caller_session::parse()
+{
+    while (!closed_ && !input_complete_ && buffer_.size() > 0 && may_receive_request()) {
+        if (!parse_more()) {
+            break;
+        }
+    }
+    set_input_timeout();
+    begin_exchanges();
+}
+
+// Returns whether there may be more to parse.
+bool caller_session::parse_more()
+{
+    if (!parser_) {
+        const auto limits = hooks_->limits();
+        parser_.emplace();
+        parser_->header_limit(static_cast<std::uint32_t>(limits.maximum_header_bytes));
+        parser_->body_limit(limits.maximum_body_bytes);
+        parse_began_at_ = last_read_at_;
+    }
+    error_code error;
+    const auto parsed = parser_->put(buffer_.data(), error);
+    buffer_.consume(parsed);
+    if (error == http::error::need_more) {
+        return false;
+    }
+    if (error) {
+        reject(error);
+        return false;
+    }
+    if (!reading_body_ && !accept_head()) {
+        return false;
+    }
+    if (parser_->is_done()) {
+        complete_request();
+    }
+    return true;
+}
+
+// Returns whether the body of the request can be read.
+bool caller_session::accept_head()
 {
     const auto& head = parser_->get();
     const auto transfer_encoding = head[http::field::transfer_encoding];
     if ((!transfer_encoding.empty() && !boost::beast::iequals(transfer_encoding, "chunked")) || head.version() != 11) {
         reject(http::make_error_code(http::error::bad_transfer_encoding));
-        return;
+        return false;
     }
-    if (parser_->is_done()) {
-        deliver_request();
-        return;
+    reading_body_ = true;
+    parser_->eager(true);
+    if (!parser_->is_done() && boost::beast::iequals(head[http::field::expect], "100-continue")) {
+        continue_requested_ = true;
+        send_continue();
     }
-    stream_.expires_after(body_timeout);
-    if (!boost::beast::iequals(head[http::field::expect], "100-continue")) {
-        continue_body();
+    return true;
+}
+
+// An interim response must not come before the responses to earlier requests.
+void caller_session::send_continue()
+{
+    if (!continue_requested_ || sending_ || !exchanges_.empty()) {
         return;
     }
+    continue_requested_ = false;
+    sending_ = true;
     outgoing_head_ = "HTTP/1.1 100 Continue\r\n\r\n";
-    boost::asio::async_write(stream_, boost::asio::buffer(outgoing_head_),
+    boost::asio::async_write(socket_, boost::asio::buffer(outgoing_head_),
                              [self = shared_from_this()](error_code error, std::size_t) {
-                                 if (!error) {
-                                     self->continue_body();
+                                 self->sending_ = false;
+                                 if (!error && !self->closed_) {
+                                     self->send_next_response();
                                  }
                              });
 }
 
-void caller_session::continue_body()
+void caller_session::complete_request()
 {
-    http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](error_code error, std::size_t) {
-        if (error) {
-            self->reject(error);
-            return;
-        }
-        self->deliver_request();
-    });
+    const bool keep_alive = parser_->keep_alive();
+    auto added = std::make_shared<caller_exchange>(shared_from_this(), parser_->release(), parse_began_at_);
+    added->keep_alive_ = keep_alive;
+    add_exchange(std::move(added));
+    if (!keep_alive) {
+        end_input();
+    }
+}
+
+void caller_session::end_input()
+{
+    input_complete_ = true;
+    buffer_.clear();
 }
 
 void caller_session::reject(error_code reason)
 {
-    if (!is_protocol_error(reason)) {
-        // The caller disconnected or was too slow; no part of its request was sent to an upstream.
-        return;
-    }
-    responding_ = true;
-    keep_alive_ = false;
-    respond({rejection_status(reason), {}, {}, true});
+    auto added = std::make_shared<caller_exchange>(shared_from_this(), http_request{}, parse_began_at_);
+    added->begun_ = true;
+    added->response_ = caller_response{rejection_status(reason), {}, {}, true};
+    added->responded_at_ = hooks_->clock();
+    add_exchange(std::move(added));
+    end_input();
+    send_next_response();
 }
 
-void caller_session::deliver_request()
+void caller_session::add_exchange(exchange_pointer added)
 {
-    keep_alive_ = parser_->keep_alive();
-    request_ = parser_->release();
-    responding_ = true;
-    stream_.expires_never();
-    watch_for_disconnect();
-    hooks_->handle_request(shared_from_this());
+    parser_.reset();
+    reading_body_ = false;
+    continue_requested_ = false;
+    added->pipelined_ = !exchanges_.empty();
+    exchanges_.push_back(std::move(added));
 }
 
-// A caller that waits for a response sends nothing, so a readable socket means that it disconnected or sent a further
-// request.
-void caller_session::watch_for_disconnect()
+std::size_t caller_session::held_bytes() const
 {
-    if (buffer_.size() > 0) {
-        return;
+    return std::accumulate(exchanges_.begin(), exchanges_.end(), std::size_t{0},
+                           [](std::size_t sum, const auto& exchange) { return sum + exchange->held_bytes(); });
+}
+
+// A request whose first bytes were parsed is completed even at the limit.
+bool caller_session::may_receive_request() const
+{
+    if (parser_ || exchanges_.empty()) {
+        return true;
     }
-    stream_.socket().async_wait(tcp::socket::wait_read, [weak = weak_from_this()](error_code error) {
-        const auto self = weak.lock();
-        if (self && !error) {
-            self->check_for_disconnect();
-        }
-    });
+    return exchanges_.size() < maximum_held_requests && held_bytes() <= maximum_held_bytes;
 }
 
-void caller_session::check_for_disconnect()
+// While the host drains, the response to the last request that has begun closes the connection, so none begins behind
+// one that has.
+bool caller_session::may_begin(const caller_exchange& next, std::size_t position) const
 {
-    if (!responding_ || !on_disconnect_) {
-        return;
+    if (position == 0) {
+        return true;
     }
-    if (peek(stream_.socket()) != pending_input::closed) {
+    return hooks_->is_repeatable && !hooks_->is_draining() && held_bytes() <= maximum_held_bytes &&
+           hooks_->is_repeatable(next.request_);
+}
+
+void caller_session::begin_exchanges()
+{
+    // A handler may respond at once, but a response is removed from `exchanges_` only when it has been sent.
+    for (std::size_t position = 0; position < exchanges_.size() && !closed_; ++position) {
+        const auto next = exchanges_[position];
+        if (next->begun_) {
+            continue;
+        }
+        if (!may_begin(*next, position)) {
+            return;
+        }
+        next->begun_ = true;
+        next->waited_to_begin_ = hooks_->clock() - next->received_at_;
+        hooks_->handle_request(next);
+    }
+}
+
+void caller_session::accept_response(caller_exchange& answered, caller_response response)
+{
+    answered.on_disconnect_ = nullptr;
+    if (closed_ || answered.response_) {
         return;
     }
-    const auto notify = std::exchange(on_disconnect_, nullptr);
-    notify();
+    answered.response_ = std::move(response);
+    answered.responded_at_ = hooks_->clock();
+    send_next_response();
 }
 
-void caller_session::respond(caller_response response)
+void caller_session::send_next_response()
 {
-    on_disconnect_ = nullptr;
-    const bool close = response.close || !keep_alive_ || hooks_->is_draining();
-    outgoing_head_ = "HTTP/1.1 " + std::to_string(response.status) + " ";
-    outgoing_head_ += http::obsolete_reason(static_cast<http::status>(response.status)).to_string();
-    outgoing_head_ += "\r\n";
-    for (const auto& [name, value] : response.headers) {
-        outgoing_head_.append(name).append(": ").append(value).append("\r\n");
+    if (closed_ || sending_ || lingering_) {
+        return;
     }
-    const bool body = has_body(response.status, request_.method());
-    if (body) {
-        outgoing_head_ += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
-        outgoing_body_ = std::move(response.body);
+    if (exchanges_.empty()) {
+        send_continue();
+        return;
     }
-    else {
-        outgoing_body_.clear();
+    auto& answered = *exchanges_.front();
+    if (!answered.response_) {
+        return;
     }
-    outgoing_head_ += close ? "Connection: close\r\n\r\n" : "\r\n";
+    sending_ = true;
+    record_wait(answered);
+    const bool close = closes_after(answered);
+    const bool with_body = has_body(answered.response_->status, answered.request_.method());
+    outgoing_head_ = render_head(*answered.response_, with_body, close);
+    outgoing_body_ = with_body ? std::move(answered.response_->body) : std::string{};
     const std::array<boost::asio::const_buffer, 2> buffers{boost::asio::buffer(outgoing_head_),
                                                            boost::asio::buffer(outgoing_body_)};
-    stream_.expires_after(write_timeout);
-    boost::asio::async_write(stream_, buffers, [self = shared_from_this(), close](error_code error, std::size_t) {
-        if (!error) {
-            self->finish_response(close);
+    output_timer_.expires_after(write_timeout);
+    output_timer_.async_wait([weak = weak_from_this()](error_code cancelled) {
+        if (const auto self = weak.lock(); self && !cancelled) {
+            self->disconnect();
+        }
+    });
+    boost::asio::async_write(socket_, buffers, [self = shared_from_this(), close](error_code error, std::size_t) {
+        self->sending_ = false;
+        if (self->closed_) {
+            return;
+        }
+        if (error) {
+            self->disconnect();
+            return;
         }
+        self->on_response_sent(close);
     });
 }
 
-void caller_session::finish_response(bool close)
+// The requests behind a response that closes the connection have not begun.
+bool caller_session::closes_after(const caller_exchange& answered) const
 {
+    if (answered.response_->close || !answered.keep_alive_) {
+        return true;
+    }
+    const bool next_has_begun = exchanges_.size() > 1 && exchanges_[1]->begun_;
+    return hooks_->is_draining() && !next_has_begun;
+}
+
+void caller_session::record_wait(const caller_exchange& answered) const
+{
+    if (answered.pipelined_ && hooks_->record_pipeline_wait) {
+        hooks_->record_pipeline_wait(answered.waited_to_begin_ + (hooks_->clock() - answered.responded_at_));
+    }
+}
+
+void caller_session::on_response_sent(bool close)
+{
+    output_timer_.cancel();
+    exchanges_.pop_front();
     if (close) {
         linger();
         return;
     }
-    error_code ignored;
-    stream_.socket().cancel(ignored);
-    await_request();
+    if (input_closed_ && exchanges_.empty()) {
+        disconnect();
+        return;
+    }
+    parse();
+    send_next_response();
+    await_input();
+}
+
+caller_session::input_phase caller_session::current_phase() const
+{
+    if (!exchanges_.empty()) {
+        return input_phase::exchange;
+    }
+    if (!parser_) {
+        return input_phase::idle;
+    }
+    return reading_body_ ? input_phase::body : input_phase::head;
+}
+
+// Starts the timeout of a phase when it begins. While requests are in progress their deadlines apply, and a further
+// request may be incomplete for as long.
+void caller_session::set_input_timeout()
+{
+    const auto phase = current_phase();
+    if (closed_ || lingering_ || phase == timed_phase_) {
+        return;
+    }
+    timed_phase_ = phase;
+    switch (phase) {
+    case input_phase::idle:
+        expire_input_after(hooks_->limits().idle_timeout);
+        break;
+    case input_phase::head:
+        expire_input_after(hooks_->limits().header_timeout);
+        break;
+    case input_phase::body:
+        expire_input_after(body_timeout);
+        break;
+    case input_phase::exchange:
+        input_timer_.cancel();
+        break;
+    }
+}
+
+void caller_session::expire_input_after(kernel::duration timeout)
+{
+    input_timer_.expires_after(timeout);
+    input_timer_.async_wait([weak = weak_from_this()](error_code cancelled) {
+        if (const auto self = weak.lock(); self && !cancelled) {
+            self->disconnect();
+        }
+    });
 }
 
 void caller_session::linger()
 {
+    lingering_ = true;
+    exchanges_.clear();
+    end_input();
     error_code ignored;
-    stream_.socket().cancel(ignored);
-    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    stream_.expires_after(linger_time);
-    discard_input();
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    expire_input_after(linger_time);
+    await_input();
 }
 
-void caller_session::discard_input()
+void caller_session::disconnect()
 {
-    buffer_.clear();
-    stream_.async_read_some(buffer_.prepare(read_buffer_bytes),
-                            [self = shared_from_this()](error_code error, std::size_t) {
-                                if (!error) {
-                                    self->discard_input();
-                                }
-                            });
+    if (closed_) {
+        return;
+    }
+    closed_ = true;
+    error_code ignored;
+    input_timer_.cancel();
+    output_timer_.cancel();
+    socket_.close(ignored);
+    const auto ended = std::move(exchanges_);
+    exchanges_.clear();
+    for (const auto& exchange : ended) {
+        if (const auto notify = std::exchange(exchange->on_disconnect_, nullptr)) {
+            notify();
+        }
+    }
 }
 
 void caller_session::abort()
 {
-    aborted_ = true;
-    on_disconnect_ = nullptr;
-    error_code ignored;
-    stream_.socket().close(ignored);
+    disconnect();
 }
 
 void caller_session::close_if_idle()
 {
-    if (idle_) {
-        abort();
+    if (exchanges_.empty() && !parser_ && buffer_.size() == 0 && !lingering_) {
+        disconnect();
     }
 }
 
--- a/libraries/proxy/caller_session.h
+++ b/libraries/proxy/caller_session.h
@@ -1,15 +1,15 @@
 #pragma once
 
+#include "libraries/proxy/caller_exchange.h"
 #include "libraries/proxy/network.h"
 #include "libraries/proxy/traffic_configuration.h"
 
+#include <cstddef>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
-#include <utility>
-#include <vector>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -17,34 +17,29 @@
 
 namespace wisterialane::proxy {
 
-using http_request = boost::beast::http::request<boost::beast::http::string_body>;
-using http_fields = boost::beast::http::fields;
-
-/// A response to a caller with its whole body.
-struct caller_response {
-    unsigned status = 200;
-    /// Without framing headers, which the session adds.
-    std::vector<std::pair<std::string, std::string>> headers;
-    std::string body;
-    /// Closes the connection after the response.
-    bool close = false;
-};
-
-class caller_session;
-
 /// Callbacks by which a session uses its owner. All of them run on the proxy's thread.
 struct session_hooks {
-    /// Called with a complete request; its response is sent by `respond`.
-    std::function<void(const std::shared_ptr<caller_session>&)> handle_request;
+    /// Called with a complete request, which is answered by `caller_exchange::respond`.
+    std::function<void(const std::shared_ptr<caller_exchange>&)> handle_request;
     /// Returns the limits of the current configuration.
     std::function<caller_limits()> limits;
-    /// Returns whether connections are to be closed after their current request.
+    /// Returns whether connections are to be closed after their current requests.
     std::function<bool()> is_draining;
     kernel::clock_source clock;
+    /// Returns whether a request may run more than once, and so may begin before earlier requests of its connection
+    /// have been answered. Without this function no request does.
+    std::function<bool(const http_request&)> is_repeatable = nullptr;
+    /// Called with the time that a pipelined request waited for earlier ones of its connection. Optional.
+    std::function<void(kernel::duration)> record_pipeline_wait = nullptr;
 };
 
-/// One connection of a caller: reads requests, one at a time, and writes responses. Detects a caller that disconnects
-/// while its request is being served.
+/// One connection of a caller: reads requests, passes them on, and sends the responses in the order of the requests.
+/// Detects a caller that disconnects while its requests are in progress.
+///
+/// A caller may send further requests before the first one is answered. Repeatable ones begin at once, up to a limit;
+/// any other one begins when all earlier ones have been answered, and those behind it wait as well. So if a response
+/// closes the connection, no request that must not be repeated is in progress behind it, and the caller can send the
+/// requests behind it again.
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
     caller_session(tcp_stream::socket_type socket, std::shared_ptr<const session_hooks> hooks);
@@ -54,51 +49,81 @@
 
     void start();
 
-    /// The request that is being served.
-    [[nodiscard]] const http_request& request() const { return request_; }
-
-    /// When the first byte of the request was received.
-    [[nodiscard]] kernel::time_point received_at() const { return received_at_; }
-
-    /// Sets a function that is called once if the caller disconnects before the response.
-    void on_disconnect(std::function<void()> notify) { on_disconnect_ = std::move(notify); }
-
-    /// Sends the response to the current request.
-    void respond(caller_response response);
-
-    /// Closes the connection without a response.
+    /// Closes the connection. Other exchanges that are in progress end as if the caller had disconnected.
     void abort();
 
     /// Closes the connection if no request has begun.
     void close_if_idle();
 
 private:
-    void await_request();
-    void read_header();
-    void read_body();
-    void continue_body();
-    void deliver_request();
-    void watch_for_disconnect();
-    void check_for_disconnect();
+    friend class caller_exchange;
+
+    using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using exchange_pointer = std::shared_ptr<caller_exchange>;
+
+    /// What the caller's next bytes belong to; each phase has a timeout of its own.
+    enum class input_phase {
+        idle,
+        head,
+        body,
+        /// Requests are in progress.
+        exchange,
+    };
+
+    void await_input();
+    void read();
+    void on_input_end();
+    void parse();
+    [[nodiscard]] bool parse_more();
+    [[nodiscard]] bool accept_head();
+    void complete_request();
+    void end_input();
     void reject(error_code reason);
-    void finish_response(bool close);
+    void add_exchange(exchange_pointer added);
+
+    [[nodiscard]] std::size_t held_bytes() const;
+    [[nodiscard]] bool may_receive_request() const;
+    [[nodiscard]] bool may_begin(const caller_exchange& next, std::size_t position) const;
+    void begin_exchanges();
+    void accept_response(caller_exchange& answered, caller_response response);
+    void send_next_response();
+    [[nodiscard]] bool closes_after(const caller_exchange& answered) const;
+    void on_response_sent(bool close);
+    void record_wait(const caller_exchange& answered) const;
+    void send_continue();
+
+    [[nodiscard]] input_phase current_phase() const;
+    void set_input_timeout();
+    void expire_input_after(kernel::duration timeout);
     void linger();
-    void discard_input();
+    void disconnect();
 
-    tcp_stream stream_;
+    tcp_stream::socket_type socket_;
+    timer input_timer_;
+    timer output_timer_;
     std::shared_ptr<const session_hooks> hooks_;
     boost::beast::flat_buffer buffer_;
-    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
-    http_request request_;
-    kernel::time_point received_at_{};
-    std::function<void()> on_disconnect_;
+    std::optional<request_parser> parser_;
+    kernel::time_point parse_began_at_{};
+    /// The head of the request in `parser_` was checked; its body follows.
+    bool reading_body_ = false;
+    bool continue_requested_ = false;
+    kernel::time_point last_read_at_{};
+    /// The phase whose timeout was started.
+    std::optional<input_phase> timed_phase_;
+    /// Exchanges that have not been answered completely, in the order of their requests.
+    std::deque<exchange_pointer> exchanges_;
     std::string outgoing_head_;
     std::string outgoing_body_;
-    bool idle_ = true;
-    /// This side closed the connection; reads that completed before are ignored.
-    bool aborted_ = false;
-    bool responding_ = false;
-    bool keep_alive_ = true;
+    bool sending_ = false;
+    /// No further requests are read: the last one was malformed or closes the connection.
+    bool input_complete_ = false;
+    /// The caller has closed its side.
+    bool input_closed_ = false;
+    bool awaiting_input_ = false;
+    bool lingering_ = false;
+    /// This side closed the connection; operations that completed before are ignored.
+    bool closed_ = false;
 };
 
 } // namespace wisterialane::proxy
--- a/libraries/proxy/message_headers.h
+++ b/libraries/proxy/message_headers.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "libraries/proxy/caller_session.h"
+#include "libraries/proxy/caller_exchange.h"
 #include "libraries/proxy/upstream_exchange.h"
 #include "libraries/proxy/upstream_notice.h"
 #include "libraries/proxy/wire_names.h"
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -120,15 +120,17 @@
 }
 
 kernel::result<void> proxy_host::listen(std::shared_ptr<caller_listener>& listener, const tcp::endpoint& address,
-                                        void (proxy_host::*handler)(const std::shared_ptr<caller_session>&))
+                                        void (proxy_host::*handler)(const std::shared_ptr<caller_exchange>&))
 {
     auto hooks = std::make_shared<session_hooks>();
-    hooks->handle_request = [this, handler](const auto& session) { (this->*handler)(session); };
+    hooks->handle_request = [this, handler](const auto& exchange) { (this->*handler)(exchange); };
     hooks->limits = [this] {
         return environment_.routing ? environment_.routing->configuration().limits : caller_limits{};
     };
     hooks->is_draining = [this] { return environment_.stop.stopping(); };
     hooks->clock = environment_.clock;
+    hooks->is_repeatable = [this](const auto& request) { return is_repeatable(request); };
+    hooks->record_pipeline_wait = [this](auto waited) { environment_.metrics.record_pipeline_wait(waited); };
     listener = std::make_shared<caller_listener>(context_, std::move(hooks));
     return listener->listen(address);
 }
@@ -174,24 +176,35 @@
     });
 }
 
-void proxy_host::handle_request(const std::shared_ptr<caller_session>& session)
+void proxy_host::handle_request(const std::shared_ptr<caller_exchange>& exchange)
 {
     environment_.received_requests.add(environment_.clock());
-    std::make_shared<request_handler>(environment_, session)->start();
+    std::make_shared<request_handler>(environment_, exchange)->start();
 }
 
-void proxy_host::handle_readiness_request(const std::shared_ptr<caller_session>& session)
+// Requests for the host's own pages match no route; they are answered at once anyway.
+bool proxy_host::is_repeatable(const http_request& request) const
+{
+    if (!environment_.routing) {
+        return false;
+    }
+    const auto host_name = normalize_host_name(to_view(request[boost::beast::http::field::host]));
+    const auto* route = environment_.routing->find_route(host_name, path_of(to_view(request.target())));
+    return route != nullptr && route->semantics == route_semantics::idempotent;
+}
+
+void proxy_host::handle_readiness_request(const std::shared_ptr<caller_exchange>& exchange)
 {
     update_readiness(environment_.clock());
-    const bool path_matches = path_of(to_view(session->request().target())) == settings_.names.readiness_path;
-    session->respond({path_matches ? (ready_ ? 200U : 503U) : 404U, {}, {}, false});
+    const bool path_matches = path_of(to_view(exchange->request().target())) == settings_.names.readiness_path;
+    exchange->respond({path_matches ? (ready_ ? 200U : 503U) : 404U, {}, {}, false});
 }
 
-void proxy_host::handle_addresses_request(const std::shared_ptr<caller_session>& session)
+void proxy_host::handle_addresses_request(const std::shared_ptr<caller_exchange>& exchange)
 {
-    const auto target = to_view(session->request().target());
+    const auto target = to_view(exchange->request().target());
     if (path_of(target) != settings_.names.address_path) {
-        session->respond({404, {}, {}, false});
+        exchange->respond({404, {}, {}, false});
         return;
     }
     const auto now = environment_.clock();
@@ -200,16 +213,16 @@
     const auto data_centre =
         requested.empty() ? settings_.self.data_centre : kernel::data_centre_name{std::string{requested}};
     const auto ttl = std::min(default_address_ttl, settings_.reloadable.maximum_address_ttl);
-    session->respond({200,
-                      {{"Content-Type", "application/json"}},
-                      settings_.render_addresses(peers_.caller_addresses_for(data_centre, now), ttl),
-                      false});
+    exchange->respond({200,
+                       {{"Content-Type", "application/json"}},
+                       settings_.render_addresses(peers_.caller_addresses_for(data_centre, now), ttl),
+                       false});
 }
 
-void proxy_host::handle_metrics_request(const std::shared_ptr<caller_session>& session)
+void proxy_host::handle_metrics_request(const std::shared_ptr<caller_exchange>& exchange)
 {
     update_gauges(environment_.clock());
-    session->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, environment_.metrics.render(), false});
+    exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, environment_.metrics.render(), false});
 }
 
 void proxy_host::update_gauges(kernel::time_point now)
--- a/libraries/proxy/proxy_host.h
+++ b/libraries/proxy/proxy_host.h
@@ -67,13 +67,15 @@
     [[nodiscard]] request_environment& environment() { return environment_; }
 
 private:
-    void handle_request(const std::shared_ptr<caller_session>& session);
-    void handle_readiness_request(const std::shared_ptr<caller_session>& session);
-    void handle_addresses_request(const std::shared_ptr<caller_session>& session);
-    void handle_metrics_request(const std::shared_ptr<caller_session>& session);
+    void handle_request(const std::shared_ptr<caller_exchange>& exchange);
+    void handle_readiness_request(const std::shared_ptr<caller_exchange>& exchange);
+    void handle_addresses_request(const std::shared_ptr<caller_exchange>& exchange);
+    void handle_metrics_request(const std::shared_ptr<caller_exchange>& exchange);
     kernel::result<void> listen(std::shared_ptr<caller_listener>& listener, const tcp::endpoint& address,
-                                void (proxy_host::*handler)(const std::shared_ptr<caller_session>&));
+                                void (proxy_host::*handler)(const std::shared_ptr<caller_exchange>&));
 
+    /// Whether a caller's request may run more than once.
+    [[nodiscard]] bool is_repeatable(const http_request& request) const;
     void update_gauges(kernel::time_point now);
     [[nodiscard]] bool apply(traffic_configuration configuration);
     void on_directory_change(const upstream_record& record, directory_change change);
--- a/libraries/proxy/proxy_metrics.cpp
+++ b/libraries/proxy/proxy_metrics.cpp
@@ -40,6 +40,11 @@
                       .Help("Time that requests waited for an upstream")
                       .Register(*registry_)
                       .Add({}, latency_buckets())},
+      pipeline_wait_{prometheus::BuildHistogram()
+                         .Name("wisterialane_pipeline_wait_seconds")
+                         .Help("Time that pipelined requests waited for earlier ones of their connection")
+                         .Register(*registry_)
+                         .Add({}, latency_buckets())},
       upstreams_{
           prometheus::BuildGauge().Name("wisterialane_upstreams").Help("Upstreams by state").Register(*registry_)},
       configuration_version_{prometheus::BuildGauge()
@@ -92,6 +97,11 @@
     queue_time_.Observe(seconds{waited}.count());
 }
 
+void proxy_metrics::record_pipeline_wait(kernel::duration waited)
+{
+    pipeline_wait_.Observe(seconds{waited}.count());
+}
+
 void proxy_metrics::set_upstreams(std::string_view state, std::size_t count)
 {
     upstreams_.Add({{"state", std::string{state}}}).Set(static_cast<double>(count));
--- a/libraries/proxy/proxy_metrics.h
+++ b/libraries/proxy/proxy_metrics.h
@@ -28,6 +28,8 @@
     void record_attempt(std::string_view outcome);
     void record_store_call(std::string_view outcome);
     void record_queue_time(kernel::duration waited);
+    /// Records the time that a pipelined request waited for earlier ones of its connection.
+    void record_pipeline_wait(kernel::duration waited);
     void set_upstreams(std::string_view state, std::size_t count);
     void set_configuration(kernel::version_number version, kernel::duration age);
     void set_dropped_log_lines(std::uint64_t count);
@@ -42,6 +44,7 @@
     prometheus::Family<prometheus::Counter>& attempts_;
     prometheus::Family<prometheus::Counter>& store_calls_;
     prometheus::Histogram& queue_time_;
+    prometheus::Histogram& pipeline_wait_;
     prometheus::Family<prometheus::Gauge>& upstreams_;
     prometheus::Gauge& configuration_version_;
     prometheus::Gauge& configuration_age_;
--- a/libraries/proxy/request_handler.cpp
+++ b/libraries/proxy/request_handler.cpp
@@ -50,11 +50,11 @@
 
 } // namespace
 
-request_handler::request_handler(request_environment& environment, std::shared_ptr<caller_session> session)
-    : environment_{environment}, session_{std::move(session)}, deadline_timer_{environment.context.get_executor()},
+request_handler::request_handler(request_environment& environment, std::shared_ptr<caller_exchange> exchange)
+    : environment_{environment}, exchange_{std::move(exchange)}, deadline_timer_{environment.context.get_executor()},
       hedge_timer_{environment.context.get_executor()}, queue_timer_{environment.context.get_executor()}
 {
-    context_.received_at = session_->received_at();
+    context_.received_at = exchange_->received_at();
     environment_.active_requests.insert(this);
 }
 
@@ -66,8 +66,8 @@
 void request_handler::start()
 {
     const auto now = environment_.clock();
-    context_.request_id = to_view(session_->request()[environment_.names.request_id]);
-    request_admission admission{environment_, session_->request(), context_};
+    context_.request_id = to_view(exchange_->request()[environment_.names.request_id]);
+    request_admission admission{environment_, exchange_->request(), context_};
     if (const auto admitted = admission.admit(now); !admitted) {
         refuse(admitted.error());
         return;
@@ -75,7 +75,7 @@
     selection_.service = context_.service;
     selection_.repeatable = is_repeatable();
     plan_ = attempt_plan{context_.route->maximum_attempts, is_repeatable()};
-    session_->on_disconnect([weak = weak_from_this()] {
+    exchange_->on_disconnect([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->on_caller_disconnect();
         }
@@ -194,10 +194,10 @@
     request.upstream = chosen.record.id;
     request.address = *address;
     request.request_id = context_.request_id;
-    request.method = session_->request().method();
+    request.method = exchange_->request().method();
     request.connect_timeout = std::min(connect_timeout, std::max(milliseconds{1}, remaining));
-    request.body = session_->request().body();
-    request.head = head_for_upstream(session_->request(), environment_.names,
+    request.body = exchange_->request().body();
+    request.head = head_for_upstream(exchange_->request(), environment_.names,
                                      {chosen.record.id, remaining, context_.customer_name()});
     attempt next{chosen.record.id,
                  std::make_shared<upstream_exchange>(environment_.context, environment_.connections, environment_.names,
@@ -450,7 +450,6 @@
     environment_.log.write(now, line_priority::routine, proxy_event::caller_left,
                            {{"request", context_.request_id}, {"elapsed_ms", to_text(now - context_.received_at)}});
     cancel_attempts(exchange_outcome::neutral);
-    session_->abort();
     finish(caller_disconnected);
     queue().dispatch();
 }
@@ -506,9 +505,9 @@
     response.status = from_upstream.status;
     response.headers = headers_for_caller(from_upstream.headers);
     response.body = std::move(from_upstream.body);
-    const auto session = session_;
+    const auto exchange = exchange_;
     finish(is_success(from_upstream.status) ? served : "upstream_error");
-    session->respond(std::move(response));
+    exchange->respond(std::move(response));
 }
 
 void request_handler::refuse(const refusal& cause)
@@ -534,9 +533,9 @@
     if (cause.retry_after && (cause.status == 503 || cause.status == 429)) {
         response.headers.emplace_back("Retry-After", retry_after_text(*cause.retry_after));
     }
-    const auto session = session_;
+    const auto exchange = exchange_;
     finish(cause.reason);
-    session->respond(std::move(response));
+    exchange->respond(std::move(response));
 }
 
 void request_handler::finish(std::string_view outcome)
--- a/libraries/proxy/request_handler.h
+++ b/libraries/proxy/request_handler.h
@@ -18,7 +18,7 @@
 /// operations keep the object alive.
 class request_handler : public std::enable_shared_from_this<request_handler> {
 public:
-    request_handler(request_environment& environment, std::shared_ptr<caller_session> session);
+    request_handler(request_environment& environment, std::shared_ptr<caller_exchange> exchange);
     request_handler(const request_handler&) = delete;
     request_handler& operator=(const request_handler&) = delete;
     ~request_handler();
@@ -81,7 +81,7 @@
     [[nodiscard]] request_queue& queue() { return environment_.queues[context_.service]; }
 
     request_environment& environment_;
-    std::shared_ptr<caller_session> session_;
+    std::shared_ptr<caller_exchange> exchange_;
     request_context context_;
     selection_request selection_;
     std::vector<attempt> attempts_;
--- a/libraries/proxy/upstream_exchange.h
+++ b/libraries/proxy/upstream_exchange.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "libraries/proxy/caller_session.h"
+#include "libraries/proxy/caller_exchange.h"
 #include "libraries/proxy/upstream_connection_pool.h"
 #include "libraries/proxy/wire_names.h"
 
@@ -10,6 +10,8 @@
 #include <string>
 #include <string_view>
 
+#include <boost/beast/http/parser.hpp>
+
 namespace wisterialane::proxy {
 
 /// How an exchange ended on its connection.
--- a/tests/stand_ins/edge/store_stand_in.cpp
+++ b/tests/stand_ins/edge/store_stand_in.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 using nlohmann::json;
-using session_pointer = std::shared_ptr<proxy::caller_session>;
+using exchange_pointer = std::shared_ptr<proxy::caller_exchange>;
 
 /// Maximum rows in one response; low enough that tests need several pages.
 constexpr std::size_t maximum_page_rows = 50;
@@ -35,9 +35,9 @@
     return row;
 }
 
-void respond(const session_pointer& session, unsigned status, const json& body)
+void respond(const exchange_pointer& exchange, unsigned status, const json& body)
 {
-    session->respond({status, {{"Content-Type", "application/json"}}, body.dump(), false});
+    exchange->respond({status, {{"Content-Type", "application/json"}}, body.dump(), false});
 }
 
 std::string format_time(kernel::time_point now)
@@ -54,7 +54,7 @@
 kernel::result<void> store_stand_in::listen(const proxy::tcp::endpoint& address)
 {
     auto hooks = std::make_shared<proxy::session_hooks>();
-    hooks->handle_request = [this](const auto& session) { handle(session); };
+    hooks->handle_request = [this](const auto& exchange) { handle(exchange); };
     hooks->limits = [] { return proxy::caller_limits{}; };
     hooks->is_draining = [] { return false; };
     hooks->clock = clock_;
@@ -74,33 +74,33 @@
     respond_to_waiting_calls(table);
 }
 
-void store_stand_in::handle(const session_pointer& session)
+void store_stand_in::handle(const exchange_pointer& exchange)
 {
     if (mode_ == store_mode::unresponsive) {
-        unanswered_.push_back(session);
+        unanswered_.push_back(exchange);
         return;
     }
     if (mode_ == store_mode::overloaded) {
-        respond(session, 503, json::object());
+        respond(exchange, 503, json::object());
         return;
     }
-    const auto target = proxy::to_view(session->request().target());
+    const auto target = proxy::to_view(exchange->request().target());
     const auto path = target.substr(0, target.find('?'));
     if (path == "/v1/rows-get") {
-        handle_rows_get(session, target);
+        handle_rows_get(exchange, target);
     }
     else if (path == "/v1/rows-feed") {
-        handle_rows_feed(session, target);
+        handle_rows_feed(exchange, target);
     }
     else if (path == "/v1/rows-tx") {
-        handle_transaction(session);
+        handle_transaction(exchange);
     }
     else {
-        respond(session, 404, json::object());
+        respond(exchange, 404, json::object());
     }
 }
 
-void store_stand_in::handle_rows_get(const session_pointer& session, std::string_view target)
+void store_stand_in::handle_rows_get(const exchange_pointer& exchange, std::string_view target)
 {
     const auto& table = tables_[decoded_parameter(target, "table_name")];
     json rows = json::array();
@@ -115,19 +115,19 @@
         }
         rows.push_back(row_to_json(entry->first, entry->second.value, entry->second.revision));
     }
-    respond(session, 200,
+    respond(exchange, 200,
             {{"rows", std::move(rows)},
              {"row_version", revision_},
              {"now", format_time(clock_())},
              {"has_more", has_more}});
 }
 
-void store_stand_in::handle_rows_feed(const session_pointer& session, std::string_view target)
+void store_stand_in::handle_rows_feed(const exchange_pointer& exchange, std::string_view target)
 {
-    waiting_call call{session, decoded_parameter(target, "table_name"), std::stoull(decoded_parameter(target, "after")),
-                      nullptr};
+    waiting_call call{exchange, decoded_parameter(target, "table_name"),
+                      std::stoull(decoded_parameter(target, "after")), nullptr};
     if (call.after_revision < history_start_) {
-        respond(session, 410, json::object());
+        respond(exchange, 410, json::object());
         return;
     }
     if (has_changes(call.table, call.after_revision)) {
@@ -137,12 +137,12 @@
     call.timeout = std::make_shared<proxy::timer>(context_.get_executor());
     call.timeout->expires_after(std::chrono::milliseconds{std::stoll(decoded_parameter(target, "wait_ms"))});
     waiting_calls_.push_back(call);
-    call.timeout->async_wait([this, session](proxy::error_code cancelled) {
+    call.timeout->async_wait([this, exchange](proxy::error_code cancelled) {
         if (cancelled) {
             return;
         }
         for (auto waiting = waiting_calls_.begin(); waiting != waiting_calls_.end(); ++waiting) {
-            if (waiting->session == session) {
+            if (waiting->exchange == exchange) {
                 respond_with_changes(*waiting);
                 waiting_calls_.erase(waiting);
                 return;
@@ -151,18 +151,18 @@
     });
 }
 
-void store_stand_in::handle_transaction(const session_pointer& session)
+void store_stand_in::handle_transaction(const exchange_pointer& exchange)
 {
-    const auto body = json::parse(session->request().body(), nullptr, false);
+    const auto body = json::parse(exchange->request().body(), nullptr, false);
     if (!body.is_object()) {
-        respond(session, 400, json::object());
+        respond(exchange, 400, json::object());
         return;
     }
     for (const auto& written : body.value("put", json::array())) {
         put(written.at("table_name").get<std::string>(), written.at("key").get<std::string>(),
             encoding::decode_base64(written.at("value").get<std::string>()).value_or(""));
     }
-    respond(session, 200, {{"row_version", revision_}, {"now", format_time(clock_())}});
+    respond(exchange, 200, {{"row_version", revision_}, {"now", format_time(clock_())}});
 }
 
 bool store_stand_in::has_changes(const std::string& table, std::uint64_t after_revision) const
@@ -187,7 +187,8 @@
     for (auto& [revision, document] : rows_by_revision) {
         rows.push_back(std::move(document));
     }
-    respond(call.session, 200, {{"rows", std::move(rows)}, {"row_version", revision_}, {"now", format_time(clock_())}});
+    respond(call.exchange, 200,
+            {{"rows", std::move(rows)}, {"row_version", revision_}, {"now", format_time(clock_())}});
 }
 
 void store_stand_in::respond_to_waiting_calls(const std::string& table)
--- a/tests/stand_ins/edge/store_stand_in.h
+++ b/tests/stand_ins/edge/store_stand_in.h
@@ -46,16 +46,16 @@
     };
 
     struct waiting_call {
-        std::shared_ptr<proxy::caller_session> session;
+        std::shared_ptr<proxy::caller_exchange> exchange;
         std::string table;
         std::uint64_t after_revision = 0;
         std::shared_ptr<proxy::timer> timeout;
     };
 
-    void handle(const std::shared_ptr<proxy::caller_session>& session);
-    void handle_rows_get(const std::shared_ptr<proxy::caller_session>& session, std::string_view target);
-    void handle_rows_feed(const std::shared_ptr<proxy::caller_session>& session, std::string_view target);
-    void handle_transaction(const std::shared_ptr<proxy::caller_session>& session);
+    void handle(const std::shared_ptr<proxy::caller_exchange>& exchange);
+    void handle_rows_get(const std::shared_ptr<proxy::caller_exchange>& exchange, std::string_view target);
+    void handle_rows_feed(const std::shared_ptr<proxy::caller_exchange>& exchange, std::string_view target);
+    void handle_transaction(const std::shared_ptr<proxy::caller_exchange>& exchange);
     void respond_with_changes(const waiting_call& call);
     void respond_to_waiting_calls(const std::string& table);
     [[nodiscard]] bool has_changes(const std::string& table, std::uint64_t after_revision) const;
@@ -65,8 +65,8 @@
     std::shared_ptr<proxy::caller_listener> listener_;
     std::map<std::string, std::map<std::string, row>> tables_;
     std::list<waiting_call> waiting_calls_;
-    /// Sessions whose calls get no response; a session closes its connection when it is destroyed.
-    std::list<std::shared_ptr<proxy::caller_session>> unanswered_;
+    /// Sessions whose calls get no response; a exchange closes its connection when it is destroyed.
+    std::list<std::shared_ptr<proxy::caller_exchange>> unanswered_;
     std::uint64_t revision_ = 1;
     /// Changes up to this revision are no longer known.
     std::uint64_t history_start_ = 0;
--- a/tests/stand_ins/edge/upstream_stand_in.cpp
+++ b/tests/stand_ins/edge/upstream_stand_in.cpp
@@ -29,7 +29,7 @@
 kernel::result<void> upstream_stand_in::start()
 {
     auto hooks = std::make_shared<proxy::session_hooks>();
-    hooks->handle_request = [this](const auto& session) { handle(session); };
+    hooks->handle_request = [this](const auto& exchange) { handle(exchange); };
     hooks->limits = [] { return proxy::caller_limits{}; };
     hooks->is_draining = [this] { return draining_since_.has_value(); };
     hooks->clock = clock_;
@@ -75,37 +75,37 @@
     store_.erase("servers", options_.id);
 }
 
-void upstream_stand_in::refuse(const session_pointer& session, unsigned status) const
+void upstream_stand_in::refuse(const exchange_pointer& exchange, unsigned status) const
 {
     const auto names = platform_adapter::platform_wire_names();
-    session->respond({status, {{names.not_executed, "1"}}, {}, false});
+    exchange->respond({status, {{names.not_executed, "1"}}, {}, false});
 }
 
-void upstream_stand_in::handle(const session_pointer& session)
+void upstream_stand_in::handle(const exchange_pointer& exchange)
 {
     const auto names = platform_adapter::platform_wire_names();
-    const auto& request = session->request();
+    const auto& request = exchange->request();
     const std::string request_id{proxy::to_view(request[names.request_id])};
     if (request_id.empty()) {
-        refuse(session, 400);
+        refuse(exchange, 400);
         return;
     }
     const auto target_upstream = proxy::to_view(request[names.target_upstream]);
     if (!target_upstream.empty() && target_upstream != options_.id) {
-        refuse(session, 421);
+        refuse(exchange, 421);
         return;
     }
     const bool inject_fault = ++request_count_ % requests_per_success != 0;
     if (mode_ == upstream_mode::resets_connections && inject_fault) {
-        session->abort();
+        exchange->abort();
         return;
     }
     if (used_slots_ >= options_.slots) {
-        refuse(session, 503);
+        refuse(exchange, 503);
         return;
     }
     check_guarantees(request_id, request);
-    execute(session, request_id);
+    execute(exchange, request_id);
 }
 
 // Checks the guarantees of the proxy that an upstream can observe.
@@ -136,33 +136,33 @@
     }
 }
 
-void upstream_stand_in::execute(const session_pointer& session, const std::string& request_id)
+void upstream_stand_in::execute(const exchange_pointer& exchange, const std::string& request_id)
 {
     ++used_slots_;
     const auto timer = std::make_shared<proxy::timer>(context_.get_executor());
     const auto disconnected = std::make_shared<bool>(false);
-    session->on_disconnect([timer, disconnected] {
+    exchange->on_disconnect([timer, disconnected] {
         *disconnected = true;
         timer->cancel();
     });
     const bool hangs = mode_ == upstream_mode::hangs;
     timer->expires_after(hangs ? std::chrono::milliseconds{60000} : options_.service_time);
-    timer->async_wait([this, session, request_id, timer, disconnected](proxy::error_code) {
+    timer->async_wait([this, exchange, request_id, timer, disconnected](proxy::error_code) {
         --used_slots_;
         if (*disconnected) {
-            session->abort();
+            exchange->abort();
             return;
         }
-        respond_to(session, request_id);
+        respond_to(exchange, request_id);
     });
 }
 
-void upstream_stand_in::respond_to(const session_pointer& session, const std::string& request_id)
+void upstream_stand_in::respond_to(const exchange_pointer& exchange, const std::string& request_id)
 {
     const auto names = platform_adapter::platform_wire_names();
     const bool inject_fault = request_count_ % requests_per_success != 0;
     if (mode_ == upstream_mode::drops_responses && inject_fault) {
-        session->abort();
+        exchange->abort();
         return;
     }
     proxy::caller_response response;
@@ -171,9 +171,9 @@
         response.status = 500;
     }
     else {
-        response.body = expected_body(request_id, std::string{proxy::to_view(session->request().target())});
+        response.body = expected_body(request_id, std::string{proxy::to_view(exchange->request().target())});
     }
-    session->respond(std::move(response));
+    exchange->respond(std::move(response));
 }
 
 } // namespace wisterialane::edge_stand_ins
--- a/tests/stand_ins/edge/upstream_stand_in.h
+++ b/tests/stand_ins/edge/upstream_stand_in.h
@@ -52,14 +52,14 @@
     [[nodiscard]] const std::string& id() const { return options_.id; }
 
 private:
-    using session_pointer = std::shared_ptr<proxy::caller_session>;
+    using exchange_pointer = std::shared_ptr<proxy::caller_exchange>;
 
     void write_entry();
-    void handle(const session_pointer& session);
+    void handle(const exchange_pointer& exchange);
     void check_guarantees(const std::string& request_id, const proxy::http_request& request);
-    void execute(const session_pointer& session, const std::string& request_id);
-    void respond_to(const session_pointer& session, const std::string& request_id);
-    void refuse(const session_pointer& session, unsigned status) const;
+    void execute(const exchange_pointer& exchange, const std::string& request_id);
+    void respond_to(const exchange_pointer& exchange, const std::string& request_id);
+    void refuse(const exchange_pointer& exchange, unsigned status) const;
 
     proxy::io_context& context_;
     kernel::clock_source clock_;
