Upstream health: A good answer at any host contradicts timeouts on another

A timeout, or two failed connections, that others report count only until any host reports a good answer, and not within four seconds of one. To make such answers known, a host reports the first good answer after another host's report.

The new tests fail before.

--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -101,9 +101,9 @@
             [this](auto now) { return is_store_reader(now); }, [this](auto relay) { send_relay(std::move(relay)); },
             environment_.clock});
     peer_channel_ = std::make_shared<peer_channel>(context, [this](const auto& message) { on_peer_message(message); });
-    environment_.share_evidence = [this](const shared_evidence& evidence, trust trust_at_start) {
+    environment_.share_evidence = [this](const shared_evidence& evidence, bool unexpected) {
         const auto now = environment_.clock();
-        if (evidence.notice || should_share_evidence(evidence.outcome, trust_at_start, peers_.is_active(now))) {
+        if (evidence.notice || should_share_evidence(evidence.outcome, unexpected, peers_.is_active(now))) {
             send_evidence(peers_.recipient_addresses(now), {evidence});
         }
     };
--- a/libraries/proxy/request_environment.h
+++ b/libraries/proxy/request_environment.h
@@ -63,9 +63,9 @@
     health::quarantine quarantine{3};
     proxy_metrics metrics;
     kernel::decision_log log;
-    /// Sends evidence on an exchange to the other hosts, if they need it; the second argument is the trust in the
-    /// upstream when the request was sent.
-    std::function<void(const shared_evidence&, trust)> share_evidence;
+    /// Sends evidence on an exchange to the other hosts, if they need it; the second argument is whether a good answer
+    /// was unexpected.
+    std::function<void(const shared_evidence&, bool)> share_evidence;
     /// Called when a request of a customer was admitted; reports it to the other hosts if that is urgent.
     std::function<void()> report_admissions;
     stop_plan stop;
--- a/libraries/proxy/request_handler.cpp
+++ b/libraries/proxy/request_handler.cpp
@@ -296,6 +296,7 @@
                                     kernel::time_point now)
 {
     environment_.metrics.record_attempt(to_name(outcome));
+    bool unexpected = ended.trust_at_start != trust::trusted;
     if (auto* target = environment_.upstreams.find(ended.upstream)) {
         if (const auto sent = target->in_flight.find(ended.sent_at); sent != target->in_flight.end()) {
             target->in_flight.erase(sent);
@@ -313,6 +314,7 @@
             target->busy_until = now + shed_avoidance_time;
         }
         const bool was_trusted = target->health.state(now) == trust::trusted;
+        unexpected = unexpected || target->health.is_disputed(now);
         target->health.record(outcome, now);
         const auto state = target->health.state(now);
         if (was_trusted != (state == trust::trusted)) {
@@ -329,8 +331,8 @@
     }
     if (outcome == exchange_outcome::good) {
         environment_.quarantine.record_success(context_.fingerprint, now);
-        if (ended.trust_at_start != trust::trusted) {
-            share_evidence(ended, outcome, result, now);
+        if (unexpected) {
+            share_evidence(ended, outcome, result, unexpected, now);
         }
         return;
     }
@@ -344,7 +346,7 @@
                             {"status", std::to_string(result.response.status)},
                             {"reused", result.reused ? "yes" : "no"},
                             {"elapsed_ms", to_text(now - ended.sent_at)}});
-    share_evidence(ended, outcome, result, now);
+    share_evidence(ended, outcome, result, unexpected, now);
 }
 
 // Records what a complete response says of its upstream.
@@ -361,12 +363,12 @@
     const auto notice = read_notice(response.headers, environment_.names, ended.upstream_started_at_ms);
     if (environment_.upstreams.record_notice(ended.upstream, notice, ended.sent_at, now) &&
         environment_.share_evidence) {
-        environment_.share_evidence({ended.upstream, exchange_outcome::neutral, 0, notice}, ended.trust_at_start);
+        environment_.share_evidence({ended.upstream, exchange_outcome::neutral, 0, notice}, false);
     }
 }
 
 void request_handler::share_evidence(const attempt& ended, exchange_outcome outcome, const exchange_result& result,
-                                     kernel::time_point now)
+                                     bool unexpected, kernel::time_point now)
 {
     const bool crashed = outcome == exchange_outcome::broken && result.end == exchange_end::closed;
     if (crashed) {
@@ -374,7 +376,7 @@
     }
     if (environment_.share_evidence) {
         environment_.share_evidence({ended.upstream, outcome, crashed ? context_.fingerprint : 0, std::nullopt},
-                                    ended.trust_at_start);
+                                    unexpected);
     }
 }
 
--- a/libraries/proxy/request_handler.h
+++ b/libraries/proxy/request_handler.h
@@ -41,7 +41,7 @@
     };
 
     void record_response(const attempt& ended, const upstream_response& response, kernel::time_point now);
-    void share_evidence(const attempt& ended, exchange_outcome outcome, const exchange_result& result,
+    void share_evidence(const attempt& ended, exchange_outcome outcome, const exchange_result& result, bool unexpected,
                         kernel::time_point now);
     void start_deadline_timer();
 
--- a/libraries/proxy/upstream_health.cpp
+++ b/libraries/proxy/upstream_health.cpp
@@ -19,7 +19,8 @@
 constexpr seconds suspicion_half_life{4};
 /// So many other hosts must fail to connect for this host to take the upstream as unreachable.
 constexpr std::size_t required_unreachable_reports = 2;
-/// A good answer that is younger contradicts other hosts' reports that the upstream is unreachable.
+/// A good answer that is younger contradicts other hosts' reports that the upstream is unreachable or silent; so long
+/// such a report is open to contradiction.
 constexpr kernel::duration good_answer_lifetime = std::chrono::milliseconds{4000};
 
 double weight_of(exchange_outcome outcome)
@@ -64,14 +65,14 @@
     return "neutral";
 }
 
-bool should_share_evidence(exchange_outcome outcome, trust trust_at_start, bool is_active_host)
+bool should_share_evidence(exchange_outcome outcome, bool unexpected, bool is_active_host)
 {
     switch (outcome) {
     case exchange_outcome::shed:
     case exchange_outcome::neutral:
         return false;
     case exchange_outcome::good:
-        return trust_at_start != trust::trusted;
+        return unexpected;
     case exchange_outcome::timed_out:
         return is_active_host;
     case exchange_outcome::error:
@@ -103,12 +104,11 @@
         unreachable_by_reports_ = false;
         return;
     case exchange_outcome::good:
-        last_good_at_ = now;
+        record_good_answer(now);
         [[fallthrough]];
     case exchange_outcome::error:
     case exchange_outcome::shed:
         unreachable_since_.reset();
-        unreachable_reports_.clear();
         break;
     case exchange_outcome::broken:
     case exchange_outcome::timed_out:
@@ -124,22 +124,30 @@
         record_unreachable_report(from, now);
         return;
     }
-    if (outcome == exchange_outcome::good) {
-        unreachable_reports_.clear();
-        if (unreachable_by_reports_) {
-            unreachable_since_.reset();
+    if (outcome == exchange_outcome::timed_out) {
+        disputed_at_ = now;
+        // The other host got no answer, but a host did: the path between them may be at fault.
+        if (has_recent_good_answer(now)) {
+            return;
         }
     }
+    if (outcome == exchange_outcome::good) {
+        record_good_answer(now);
+    }
+    const bool was_suspected = suspected_;
     record_answers(outcome, now);
+    if (outcome == exchange_outcome::timed_out && suspected_ && !was_suspected) {
+        suspected_by_report_ = true;
+    }
 }
 
 void upstream_health::record_unreachable_report(const kernel::host_name& from, kernel::time_point now)
 {
     std::erase_if(unreachable_reports_, [now](const auto& report) { return now - report.second > unreachable_time; });
     unreachable_reports_[from] = now;
-    const bool contradicted = last_good_at_ && now - *last_good_at_ < good_answer_lifetime;
+    disputed_at_ = now;
     // Nobody has recent good answers of an ejected upstream; the hosts' trials decide there.
-    if (suspected_ || unreachable_since_ || contradicted ||
+    if (suspected_ || unreachable_since_ || has_recent_good_answer(now) ||
         unreachable_reports_.size() < required_unreachable_reports) {
         return;
     }
@@ -147,6 +155,21 @@
     unreachable_by_reports_ = true;
 }
 
+void upstream_health::record_good_answer(kernel::time_point now)
+{
+    last_good_at_ = now;
+    disputed_at_.reset();
+    unreachable_reports_.clear();
+    if (unreachable_by_reports_) {
+        unreachable_since_.reset();
+    }
+    if (suspected_by_report_) {
+        suspected_by_report_ = false;
+        suspected_ = false;
+        suspicion_ = 0;
+    }
+}
+
 void upstream_health::record_answers(exchange_outcome outcome, kernel::time_point now)
 {
     if (outcome == exchange_outcome::neutral) {
@@ -170,6 +193,7 @@
 void upstream_health::eject(kernel::time_point now)
 {
     suspected_ = true;
+    suspected_by_report_ = false;
     suspected_since_ = now;
     ++ejections_;
 }
@@ -185,6 +209,16 @@
     return unreachable_since_ ? trust::trial : trust::trusted;
 }
 
+bool upstream_health::is_disputed(kernel::time_point now) const
+{
+    return disputed_at_ && now - *disputed_at_ < good_answer_lifetime;
+}
+
+bool upstream_health::has_recent_good_answer(kernel::time_point now) const
+{
+    return last_good_at_ && now - *last_good_at_ < good_answer_lifetime;
+}
+
 double upstream_health::suspicion(kernel::time_point now) const
 {
     const auto elapsed = std::max(seconds{0}, seconds{now - updated_});
--- a/libraries/proxy/upstream_health.h
+++ b/libraries/proxy/upstream_health.h
@@ -34,9 +34,10 @@
 [[nodiscard]] std::string_view to_name(trust state);
 
 /// Whether this host reports an outcome to the other hosts. A timeout may be the wait for a slot, which only an active
-/// host can tell: a standby host does not see the other requests of the upstream. A good answer is reported if the
-/// upstream was not trusted when the request was sent: one trial then serves all hosts.
-[[nodiscard]] bool should_share_evidence(exchange_outcome outcome, trust trust_at_start, bool is_active_host);
+/// host can tell: a standby host does not see the other requests of the upstream. A good answer is reported if it is
+/// unexpected: the upstream was not trusted when the request was sent, or another host got none. It then serves all
+/// hosts.
+[[nodiscard]] bool should_share_evidence(exchange_outcome outcome, bool unexpected, bool is_active_host);
 
 /// A suspected upstream gets no requests for at least this time.
 inline constexpr kernel::duration minimum_ejection_time = std::chrono::milliseconds{1500};
@@ -56,9 +57,9 @@
 /// Above a threshold the upstream is suspected for a fixed time. After it, the upstream is on trial and receives one
 /// request at a time until one succeeds.
 ///
-/// Failed connections are kept apart: they may be due to the path from one host, which the other hosts do not use. An
-/// upstream that this host cannot connect to is suspected here only. If two other hosts cannot connect either and this
-/// host has no recent good answer, the upstream is taken as unreachable without an attempt.
+/// Failed connections and timeouts may be due to the path from one host, which the other hosts do not use. An upstream
+/// that this host cannot connect to is suspected here only. Reports of other hosts, of one timeout or of two hosts that
+/// cannot connect, count until any host reports a good answer, and not at all after a recent one.
 class upstream_health {
 public:
     /// Records the outcome of an exchange of this host.
@@ -69,6 +70,9 @@
 
     [[nodiscard]] trust state(kernel::time_point now) const;
 
+    /// Whether another host has reported since the last good answer of any host that it got none.
+    [[nodiscard]] bool is_disputed(kernel::time_point now) const;
+
     /// Whether its last connection failed; ends with its next response to this host.
     [[nodiscard]] bool is_unreachable() const { return unreachable_since_.has_value(); }
 
@@ -85,8 +89,10 @@
 
 private:
     void record_answers(exchange_outcome outcome, kernel::time_point now);
+    void record_good_answer(kernel::time_point now);
     void record_unreachable_report(const kernel::host_name& from, kernel::time_point now);
     void eject(kernel::time_point now);
+    [[nodiscard]] bool has_recent_good_answer(kernel::time_point now) const;
 
     double suspicion_ = 0;
     kernel::time_point updated_{};
@@ -98,7 +104,11 @@
     bool unreachable_by_reports_ = false;
     /// When other hosts last reported that they could not connect.
     std::map<kernel::host_name, kernel::time_point> unreachable_reports_;
-    /// Time of the last good answer to this host.
+    /// When another host last reported that it could not connect or got no answer.
+    std::optional<kernel::time_point> disputed_at_;
+    /// The ejection is due to a timeout on another host.
+    bool suspected_by_report_ = false;
+    /// Time of the last good answer that this host received or another one reported.
     std::optional<kernel::time_point> last_good_at_;
 };
 
--- a/tests/proxy/service_emulation.cpp
+++ b/tests/proxy/service_emulation.cpp
@@ -135,7 +135,9 @@
 void service_emulation::share_evidence(const emulated_request& request, const kernel::upstream_name& id,
                                        exchange_outcome outcome)
 {
-    const bool shared = should_share_evidence(outcome, request.trust_at_start, true);
+    const auto& known = request.host->directory.find(id)->health;
+    const bool unexpected = request.trust_at_start != trust::trusted || known.is_disputed(events_.now());
+    const bool shared = should_share_evidence(outcome, unexpected, true);
     for (auto& host : hosts_) {
         auto& health = host.directory.find(id)->health;
         if (&host == request.host) {
--- a/tests/proxy/test_upstream_health.cpp
+++ b/tests/proxy/test_upstream_health.cpp
@@ -97,22 +97,59 @@
     CHECK(health.state(test_start + seconds{1}) == trust::suspected);
 }
 
+// Guards against healthy upstreams that all hosts eject, because some hosts lost the path to them with requests in
+// flight (seen on kndw-gateway-grown).
+TEST_CASE("upstream_health: timeouts on other hosts: count unless the upstream has just answered this host")
+{
+    for (const bool has_answered : {false, true}) {
+        CAPTURE(has_answered);
+        upstream_health health;
+        if (has_answered) {
+            health.record(exchange_outcome::good, test_start);
+        }
+        const auto now = test_start + seconds{2};
+        health.record_report(kernel::host_name{"one"}, exchange_outcome::timed_out, now);
+        health.record_report(kernel::host_name{"two"}, exchange_outcome::timed_out, now);
+        CHECK(health.state(now) == (has_answered ? trust::trusted : trust::suspected));
+        health.record(exchange_outcome::timed_out, now);
+        CHECK(health.state(now) == trust::suspected);
+    }
+}
+
+// Guards against a host without requests of its own that takes other hosts' lost paths for a silent upstream.
+TEST_CASE(
+    "upstream_health: timeout on one host, then a good answer on another: is trusted at once, and while it is new")
+{
+    upstream_health health;
+    health.record_report(kernel::host_name{"one"}, exchange_outcome::timed_out, test_start);
+    CHECK(health.state(test_start) == trust::suspected);
+    CHECK(health.is_disputed(test_start));
+    const auto answered = test_start + milliseconds{300};
+    health.record_report(kernel::host_name{"two"}, exchange_outcome::good, answered);
+    CHECK(health.state(answered) == trust::trusted);
+    CHECK_FALSE(health.is_disputed(answered));
+    health.record_report(kernel::host_name{"one"}, exchange_outcome::timed_out, answered + seconds{1});
+    CHECK(health.state(answered + seconds{1}) == trust::trusted);
+    health.record_report(kernel::host_name{"one"}, exchange_outcome::timed_out, answered + seconds{5});
+    CHECK(health.state(answered + seconds{5}) == trust::suspected);
+}
+
 // Guards against ejection of healthy upstreams by hosts whose only request times out in a queue that others have
 // filled.
 TEST_CASE("upstream evidence: timeout on a standby host: is not shared")
 {
-    CHECK_FALSE(should_share_evidence(exchange_outcome::timed_out, trust::trusted, false));
-    CHECK(should_share_evidence(exchange_outcome::timed_out, trust::trusted, true));
-    CHECK(should_share_evidence(exchange_outcome::broken, trust::trusted, false));
-    CHECK_FALSE(should_share_evidence(exchange_outcome::shed, trust::trusted, true));
+    CHECK_FALSE(should_share_evidence(exchange_outcome::timed_out, false, false));
+    CHECK(should_share_evidence(exchange_outcome::timed_out, false, true));
+    CHECK(should_share_evidence(exchange_outcome::broken, false, false));
+    CHECK_FALSE(should_share_evidence(exchange_outcome::shed, false, true));
 }
 
 // Guards against hosts that each learn by a trial of their own that an upstream has recovered.
-TEST_CASE("upstream evidence: good answer: is shared if it was a trial")
+TEST_CASE("upstream evidence: good answer: is shared if it is unexpected")
 {
-    CHECK(should_share_evidence(exchange_outcome::good, trust::trial, true));
-    CHECK(should_share_evidence(exchange_outcome::good, trust::suspected, false));
-    CHECK_FALSE(should_share_evidence(exchange_outcome::good, trust::trusted, true));
+    CHECK(should_share_evidence(exchange_outcome::good, true, true));
+    CHECK(should_share_evidence(exchange_outcome::good, true, false));
+    CHECK_FALSE(should_share_evidence(exchange_outcome::good, false, true));
 }
 
 } // namespace wisterialane::proxy
