Request queue: Requests that can still meet their target latency go before late ones

Now a request whose response can no longer meet the target latency of its route goes behind the others of its priority, and is refused at once if then no response can be expected before its deadline.

The new test fails with the order of before.

--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -398,7 +398,7 @@
     environment_.connections.close_expired(now);
     environment_.results.expire(now);
     for (auto& [service, queue] : environment_.queues) {
-        queue.dispatch();
+        queue.dispatch(now);
     }
     report_services(now);
     environment_.log.flush(now);
--- a/libraries/proxy/request_handler.cpp
+++ b/libraries/proxy/request_handler.cpp
@@ -124,25 +124,55 @@
 void request_handler::enqueue(kernel::time_point now)
 {
     const int customer_priority = context_.customer == nullptr ? 0 : context_.customer->priority;
+    const auto state = current_queue_state(queue().count_ahead_of(customer_priority, context_.route->priority, now));
+    if (!should_wait(state, context_.response_deadline - now)) {
+        const auto retry_after = std::max<kernel::duration>(expected_wait(state), overload_retry_after);
+        end_unserved({failure_status(), "overloaded", retry_after});
+        return;
+    }
+    queued_at_ = now;
+    const auto late_after = context_.received_at + context_.route->target_latency - state.usual_latency;
+    ticket_ = queue().push({customer_priority, context_.route->priority, context_.customer_name(),
+                            [self = shared_from_this()] { return self->dispatch_from_queue(); }, late_after});
+    if (late_after <= now) {
+        await_last_dispatch(now);
+        return;
+    }
+    queue_timer_.expires_after(late_after - now);
+    queue_timer_.async_wait([self = shared_from_this()](error_code cancelled) {
+        if (!cancelled && !self->ended_ && self->ticket_) {
+            self->on_late();
+        }
+    });
+}
+
+queue_state request_handler::current_queue_state(std::size_t ahead) const
+{
     queue_state state;
     state.usual_latency = environment_.balancer.service_latency(context_.service);
-    state.ahead = queue().count_ahead_of(customer_priority, context_.route->priority);
+    state.ahead = ahead;
     for (const auto* candidate : environment_.upstreams.of_service(context_.service)) {
         state.in_flight += candidate->in_flight.size();
     }
+    return state;
+}
+
+// Others now go first, so a response before the deadline may no longer be expected.
+void request_handler::on_late()
+{
+    const auto now = environment_.clock();
+    const auto state = current_queue_state(queue().count_ahead_of_late(*ticket_));
     if (!should_wait(state, context_.response_deadline - now)) {
         const auto retry_after = std::max<kernel::duration>(expected_wait(state), overload_retry_after);
         end_unserved({failure_status(), "overloaded", retry_after});
         return;
     }
-    queued_at_ = now;
-    start_queue_timer(now, state.usual_latency);
-    ticket_ = queue().push({customer_priority, context_.route->priority, context_.customer_name(),
-                            [self = shared_from_this()] { return self->dispatch_from_queue(); }});
+    await_last_dispatch(now);
 }
 
-void request_handler::start_queue_timer(kernel::time_point now, kernel::duration usual_latency)
+void request_handler::await_last_dispatch(kernel::time_point now)
 {
+    const auto usual_latency = environment_.balancer.service_latency(context_.service);
     queue_timer_.expires_after(context_.response_deadline - minimum_dispatch_time(usual_latency) - now);
     queue_timer_.async_wait([self = shared_from_this()](error_code cancelled) {
         if (!cancelled && !self->ended_ && self->ticket_) {
@@ -265,7 +295,7 @@
         (result.end == exchange_end::response_received && is_unexecuted_refusal(result.response, environment_.names));
     plan_.record_end(result.end, not_executed);
     respond_or_retry(outcome, std::move(result), now);
-    queue().dispatch();
+    queue().dispatch(now);
 }
 
 exchange_outcome request_handler::classify(const exchange_result& result) const
@@ -453,7 +483,7 @@
                            {{"request", context_.request_id}, {"elapsed_ms", to_text(now - context_.received_at)}});
     cancel_attempts(exchange_outcome::neutral);
     finish(caller_disconnected);
-    queue().dispatch();
+    queue().dispatch(now);
 }
 
 // An attempt that has taken no longer than usual is no evidence on its upstream. Neither is one whose upstream has sent
--- a/libraries/proxy/request_handler.h
+++ b/libraries/proxy/request_handler.h
@@ -48,7 +48,9 @@
     void dispatch();
     void end_without_upstream(kernel::time_point now);
     void enqueue(kernel::time_point now);
-    void start_queue_timer(kernel::time_point now, kernel::duration usual_latency);
+    [[nodiscard]] queue_state current_queue_state(std::size_t ahead) const;
+    void on_late();
+    void await_last_dispatch(kernel::time_point now);
     bool dispatch_from_queue();
     void leave_queue();
     void send_to(tracked_upstream& chosen, kernel::time_point now);
--- a/libraries/proxy/request_queue.cpp
+++ b/libraries/proxy/request_queue.cpp
@@ -1,6 +1,7 @@
 #include "libraries/proxy/request_queue.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace wisterialane::proxy {
 namespace {
@@ -38,8 +39,9 @@
     const auto tag = std::max(next, virtual_time_);
     next = tag + 1;
     const auto ticket = ++last_ticket_;
-    const order_key key{request.customer_priority, request.route_priority, tag, ticket};
+    const order_key key{request.customer_priority, request.route_priority, false, tag, ticket};
     order_keys_.emplace(ticket, key);
+    not_late_.emplace(request.late_after, ticket);
     entries_.emplace(key, std::move(request));
     return ticket;
 }
@@ -54,28 +56,62 @@
     order_keys_.erase(found);
     if (entries_.empty()) {
         next_tags_.clear();
+        not_late_.clear();
         virtual_time_ = 0;
     }
 }
 
-void request_queue::dispatch()
+void request_queue::move_late_requests(kernel::time_point now)
 {
+    while (!not_late_.empty() && not_late_.begin()->first < now) {
+        const auto ticket = not_late_.begin()->second;
+        not_late_.erase(not_late_.begin());
+        const auto found = order_keys_.find(ticket);
+        if (found == order_keys_.end()) {
+            continue;
+        }
+        auto node = entries_.extract(found->second);
+        found->second.late = true;
+        node.key() = found->second;
+        entries_.insert(std::move(node));
+    }
+}
+
+void request_queue::dispatch(kernel::time_point now)
+{
+    move_late_requests(now);
     while (!entries_.empty()) {
         const auto key = entries_.begin()->first;
         const auto try_dispatch = entries_.begin()->second.try_dispatch;
         if (!try_dispatch()) {
             return;
         }
-        virtual_time_ = std::max(virtual_time_, std::get<2>(key));
-        erase(std::get<3>(key));
+        virtual_time_ = std::max(virtual_time_, key.tag);
+        erase(key.ticket);
     }
 }
 
-std::size_t request_queue::count_ahead_of(int customer_priority, int route_priority) const
+std::size_t request_queue::count_ahead_of(int customer_priority, int route_priority, kernel::time_point now) const
 {
     return static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(), [&](const auto& entry) {
-        return std::tie(entry.second.customer_priority, entry.second.route_priority) <=
-               std::tie(customer_priority, route_priority);
+        const auto& [key, waiting] = entry;
+        const auto priority = std::tie(key.customer_priority, key.route_priority);
+        const auto new_priority = std::tie(customer_priority, route_priority);
+        const bool late = key.late || waiting.late_after < now;
+        return priority < new_priority || (priority == new_priority && !late);
+    }));
+}
+
+std::size_t request_queue::count_ahead_of_late(queue_ticket ticket) const
+{
+    const auto found = order_keys_.find(ticket);
+    if (found == order_keys_.end()) {
+        return 0;
+    }
+    auto key = found->second;
+    key.late = true;
+    return static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(), [&](const auto& entry) {
+        return entry.first.ticket != ticket && entry.first < key;
     }));
 }
 
--- a/libraries/proxy/request_queue.h
+++ b/libraries/proxy/request_queue.h
@@ -3,12 +3,11 @@
 #include "kernel/clock.h"
 #include "kernel/identifiers.h"
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
-#include <tuple>
 
 namespace wisterialane::proxy {
 
@@ -23,6 +22,8 @@
     kernel::customer_name customer;
     /// Called when an upstream may be free. Returns whether the request was sent or ended and leaves the queue.
     std::function<bool()> try_dispatch;
+    /// If it is dispatched later, its response misses the target latency of its route.
+    kernel::time_point late_after = kernel::time_point::max();
 };
 
 /// The state of a host's queue at the arrival of a request.
@@ -48,6 +49,9 @@
 
 /// Requests of one service that wait for a free slot: ordered by priority, and fair among customers of equal priority.
 ///
+/// Of equal priority, requests whose response can still meet its target latency go before late ones. In arrival order
+/// an overloaded queue grows until all responses are late; in this order those that are served are in time.
+///
 /// Fairness is start-time fair queueing with equal cost: a request's tag is the greater of the queue's virtual time and
 /// the tag after its customer's last one. (P. Goyal, H. M. Vin, H. Cheng, 1996.)
 class request_queue {
@@ -58,18 +62,33 @@
     void erase(queue_ticket ticket);
 
     /// Calls `try_dispatch` of the waiting requests in order until one returns false.
-    void dispatch();
+    void dispatch(kernel::time_point now);
 
     [[nodiscard]] std::size_t size() const { return entries_.size(); }
 
-    /// Number of waiting requests that are dispatched before a new one of these priorities.
-    [[nodiscard]] std::size_t count_ahead_of(int customer_priority, int route_priority) const;
+    /// Number of waiting requests that are dispatched before a new one of these priorities that is not late.
+    [[nodiscard]] std::size_t count_ahead_of(int customer_priority, int route_priority, kernel::time_point now) const;
+
+    /// Number of waiting requests that are dispatched before this one if it is late.
+    [[nodiscard]] std::size_t count_ahead_of_late(queue_ticket ticket) const;
 
 private:
-    using order_key = std::tuple<int, int, std::uint64_t, queue_ticket>;
+    struct order_key {
+        int customer_priority = 0;
+        int route_priority = 0;
+        bool late = false;
+        std::uint64_t tag = 0;
+        queue_ticket ticket = 0;
+
+        friend auto operator<=>(const order_key&, const order_key&) = default;
+    };
+
+    void move_late_requests(kernel::time_point now);
 
     std::map<order_key, queued_request> entries_;
     std::map<queue_ticket, order_key> order_keys_;
+    /// Waiting requests that are not late yet, by the time at which they will be.
+    std::multimap<kernel::time_point, queue_ticket> not_late_;
     std::map<kernel::customer_name, std::uint64_t> next_tags_;
     std::uint64_t virtual_time_ = 0;
     queue_ticket last_ticket_ = 0;
--- a/tests/proxy/overload_emulation.cpp
+++ b/tests/proxy/overload_emulation.cpp
@@ -73,6 +73,7 @@
     received->selection = {service, true, {}};
     received->counts = is_warm() ? &counts : &warm_up_requests_;
     received->execution_time = execution_time;
+    received->received_at = events_.now();
     received->deadline = events_.now() + timeout;
     received->urgent = urgent;
     ++received->counts->sent;
@@ -98,23 +99,41 @@
 {
     auto& at = *waiting->at;
     const int priority = waiting->urgent ? 0 : 1;
-    queue_state state{at.balancer.service_latency(service), at.queue.count_ahead_of(priority, 0), 0};
-    for (const auto* candidate : at.directory.of_service(service)) {
-        state.in_flight += candidate->in_flight.size();
-    }
+    const auto state = current_state(at, at.queue.count_ahead_of(priority, 0, events_.now()));
     if (!should_wait(state, waiting->deadline - events_.now())) {
         end(waiting, false);
         return;
     }
-    const auto ticket = at.queue.push({priority, 0, {}, [this, waiting] { return dispatch_from_queue(waiting); }});
-    events_.schedule(waiting->deadline - minimum_dispatch_time(state.usual_latency), [this, waiting, ticket] {
-        if (!waiting->ended && waiting->sent_at == kernel::time_point{}) {
-            waiting->at->queue.erase(ticket);
-            end(waiting, false);
+    const auto late_after = waiting->received_at + options_.target_latency - state.usual_latency;
+    const auto ticket =
+        at.queue.push({priority, 0, {}, [this, waiting] { return dispatch_from_queue(waiting); }, late_after});
+    events_.schedule(waiting->deadline - minimum_dispatch_time(state.usual_latency),
+                     [this, waiting, ticket] { leave_queue(waiting, ticket); });
+    events_.schedule(std::max(late_after, events_.now()), [this, waiting, ticket] {
+        const auto ahead = waiting->at->queue.count_ahead_of_late(ticket);
+        if (!should_wait(current_state(*waiting->at, ahead), waiting->deadline - events_.now())) {
+            leave_queue(waiting, ticket);
         }
     });
 }
 
+void overload_emulation::leave_queue(const request_pointer& waiting, queue_ticket ticket)
+{
+    if (!waiting->ended && waiting->sent_at == kernel::time_point{}) {
+        waiting->at->queue.erase(ticket);
+        end(waiting, false);
+    }
+}
+
+queue_state overload_emulation::current_state(const host& at, std::size_t ahead)
+{
+    queue_state state{at.balancer.service_latency(service), ahead, 0};
+    for (const auto* candidate : at.directory.of_service(service)) {
+        state.in_flight += candidate->in_flight.size();
+    }
+    return state;
+}
+
 bool overload_emulation::dispatch_from_queue(const request_pointer& waiting)
 {
     const auto chosen = waiting->at->balancer.choose(waiting->selection, events_.now());
@@ -186,13 +205,15 @@
         tracked.health.record(exchange_outcome::good, events_.now());
     }
     end(ended, served);
-    ended->at->queue.dispatch();
+    ended->at->queue.dispatch(events_.now());
 }
 
 void overload_emulation::end(const request_pointer& ended, bool served)
 {
     ended->ended = true;
     ended->counts->served += served ? 1 : 0;
+    const bool in_time = events_.now() - ended->received_at <= options_.target_latency;
+    ended->counts->in_time += served && in_time ? 1 : 0;
     ended->at->results.record(service, served ? request_result::served : request_result::unserved, events_.now());
 }
 
@@ -201,7 +222,7 @@
     events_.schedule(events_.now() + report_interval, [this] { share_results(); });
     for (std::size_t from = 0; from < hosts_.size(); ++from) {
         deliver_report(hosts_, from, events_.now());
-        hosts_[from].queue.dispatch();
+        hosts_[from].queue.dispatch(events_.now());
     }
 }
 
--- a/tests/proxy/overload_emulation.h
+++ b/tests/proxy/overload_emulation.h
@@ -26,6 +26,7 @@
     double long_requests_per_second = 24;
     milliseconds mean_execution_time{630};
     milliseconds long_timeout{5000};
+    milliseconds target_latency{2000};
     /// Requests that take two milliseconds and have little time, spread over all hosts.
     double short_requests_per_second = 20;
     milliseconds short_timeout{900};
@@ -34,8 +35,12 @@
 struct request_counts {
     std::size_t sent = 0;
     std::size_t served = 0;
+    /// Served within the target latency.
+    std::size_t in_time = 0;
 
     [[nodiscard]] double served_fraction() const { return static_cast<double>(served) / static_cast<double>(sent); }
+
+    [[nodiscard]] double in_time_fraction() const { return static_cast<double>(in_time) / static_cast<double>(sent); }
 };
 
 /// Emulates an overloaded service in virtual time: several hosts with their load balancers and request queues, and
@@ -67,6 +72,7 @@
         selection_request selection;
         request_counts* counts = nullptr;
         kernel::duration execution_time{};
+        kernel::time_point received_at;
         kernel::time_point deadline;
         bool urgent = false;
         bool ended = false;
@@ -87,6 +93,8 @@
     void dispatch(const request_pointer& waiting);
     bool dispatch_from_queue(const request_pointer& waiting);
     void enqueue(const request_pointer& waiting);
+    void leave_queue(const request_pointer& waiting, queue_ticket ticket);
+    [[nodiscard]] static queue_state current_state(const host& at, std::size_t ahead);
     void send(const request_pointer& ready, tracked_upstream& chosen);
     void start_execution(upstream& at, const request_pointer& started);
     void end_execution(upstream& at, const request_pointer& executed);
--- a/tests/proxy/test_overload.cpp
+++ b/tests/proxy/test_overload.cpp
@@ -10,8 +10,44 @@
 /// Fraction of the upstreams' slot time that must serve callers while the service is overloaded.
 constexpr double minimum_useful_fraction = 0.9;
 
+/// Fraction of the served requests that must meet their target latency while the service is overloaded.
+constexpr double minimum_in_time_fraction = 0.5;
+
+/// Upstreams with two slots and short work behind six active hosts, with about a third more work than slots.
+overload_options many_small_upstreams(unsigned seed)
+{
+    overload_options options;
+    options.seed = seed;
+    options.active_hosts = 6;
+    options.standby_hosts = 30;
+    options.first_host_fraction = 0.17;
+    options.upstreams = 8;
+    options.slots = 2;
+    options.upstream_queue_length = 8;
+    options.mean_execution_time = milliseconds{200};
+    options.long_timeout = milliseconds{2800};
+    options.target_latency = milliseconds{800};
+    options.long_requests_per_second = 110;
+    return options;
+}
+
 } // namespace
 
+// Guards against a queue in order of arrival, in which nearly all requests of an overloaded service are served too late
+// (seen on kndw-gateway-grown, scale-1).
+TEST_CASE("overload: a third more work than slots: half of the served requests meet their target latency")
+{
+    for (unsigned seed = 1; seed <= 6; ++seed) {
+        CAPTURE(seed);
+        overload_emulation emulation{many_small_upstreams(seed)};
+        emulation.run(seconds{40});
+        const auto& requests = emulation.long_requests();
+        REQUIRE(requests.sent > 1000);
+        CHECK(requests.in_time_fraction() >= minimum_in_time_fraction * requests.served_fraction());
+        CHECK(emulation.useful_fraction() >= minimum_useful_fraction);
+    }
+}
+
 // Guards against an added route that is not served (seen on asiis-gw): the requests of all hosts together filled the
 // queues of an overloaded service's upstreams, and those with a second left never got a response.
 TEST_CASE("overload: requests with little time left: are served at least a quarter as often as the others")
--- a/tests/proxy/test_request_queue.cpp
+++ b/tests/proxy/test_request_queue.cpp
@@ -13,16 +13,19 @@
     std::string dispatched_customers;
     std::size_t free_slots = 0;
 
-    queue_ticket push(const std::string& customer, int customer_priority = 1, int route_priority = 1)
+    queue_ticket push(const std::string& customer, int customer_priority = 1, int route_priority = 1,
+                      kernel::time_point late_after = kernel::time_point::max())
     {
-        return queue.push({customer_priority, route_priority, kernel::customer_name{customer}, [this, customer] {
+        return queue.push({customer_priority, route_priority, kernel::customer_name{customer},
+                           [this, customer] {
                                if (free_slots == 0) {
                                    return false;
                                }
                                --free_slots;
                                dispatched_customers += customer;
                                return true;
-                           }});
+                           },
+                           late_after});
     }
 };
 
@@ -34,7 +37,7 @@
     push("b");
     push("c");
     free_slots = 4;
-    queue.dispatch();
+    queue.dispatch(test_start);
     CHECK(dispatched_customers == "abca");
     CHECK(queue.size() == 4);
 }
@@ -43,9 +46,9 @@
 {
     push("a", 1, 0);
     push("b", 0, 3);
-    CHECK(queue.count_ahead_of(0, 3) == 1);
+    CHECK(queue.count_ahead_of(0, 3, test_start) == 1);
     free_slots = 1;
-    queue.dispatch();
+    queue.dispatch(test_start);
     CHECK(dispatched_customers == "b");
 }
 
@@ -55,10 +58,25 @@
     push("b");
     queue.erase(ticket);
     free_slots = 2;
-    queue.dispatch();
+    queue.dispatch(test_start);
     CHECK(dispatched_customers == "b");
 }
 
+// Guards against an overloaded queue that serves all requests too late.
+TEST_CASE_FIXTURE(queue_fixture, "request_queue: request that is late: is served after others of equal priority")
+{
+    const auto late = push("a", 1, 1, test_start + milliseconds{100});
+    push("b", 1, 1, test_start + milliseconds{500});
+    push("c", 1, 2, test_start + milliseconds{500});
+    CHECK(queue.count_ahead_of(1, 1, test_start) == 2);
+    CHECK(queue.count_ahead_of(1, 1, test_start + milliseconds{200}) == 1);
+    CHECK(queue.count_ahead_of_late(late) == 1);
+    free_slots = 3;
+    queue.dispatch(test_start + milliseconds{200});
+    CHECK(dispatched_customers == "bac");
+    CHECK(queue.size() == 0);
+}
+
 // Guards against requests that wait until their deadline passes because a slow response was still expected in time.
 TEST_CASE("should_wait: others ahead: only if a response is expected within half of the remaining time")
 {
