Request handler: Leave the queue in time if the deadline comes before the target latency

A request whose target latency is longer than its remaining time waited for the moment at which it would be late, which is after the last useful dispatch, and was refused only at its deadline.

--- a/libraries/proxy/request_handler.cpp
+++ b/libraries/proxy/request_handler.cpp
@@ -134,7 +134,8 @@
     const auto late_after = context_.received_at + context_.route->target_latency - state.usual_latency;
     ticket_ = queue().push({customer_priority, context_.route->priority, context_.customer_name(),
                             [self = shared_from_this()] { return self->dispatch_from_queue(); }, late_after});
-    if (late_after <= now) {
+    const auto last_dispatch = context_.response_deadline - minimum_dispatch_time(state.usual_latency);
+    if (late_after <= now || late_after >= last_dispatch) {
         await_last_dispatch(now);
         return;
     }
@@ -157,7 +158,8 @@
     return state;
 }
 
-// Others now go first, so a response before the deadline may no longer be expected.
+// The request can no longer meet its target latency. Others now go first, so a response before the deadline may no
+// longer be expected.
 void request_handler::on_late()
 {
     const auto now = environment_.clock();
