--- a/libraries/proxy/request_queue.h
+++ b/libraries/proxy/request_queue.h
@@ -3,11 +3,11 @@
 #include "kernel/clock.h"
 #include "kernel/identifiers.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <tuple>
 
 namespace wisterialane::proxy {
 
@@ -80,7 +80,11 @@
         std::uint64_t tag = 0;
         queue_ticket ticket = 0;
 
-        friend auto operator<=>(const order_key&, const order_key&) = default;
+        friend bool operator<(const order_key& left, const order_key& right)
+        {
+            return std::tie(left.customer_priority, left.route_priority, left.late, left.tag, left.ticket) <
+                   std::tie(right.customer_priority, right.route_priority, right.late, right.tag, right.ticket);
+        }
     };
 
     void move_late_requests(kernel::time_point now);
