--- a/tests/proxy/test_proxy_host.cpp
+++ b/tests/proxy/test_proxy_host.cpp
@@ -279,13 +279,15 @@
     add_upstream("u2", respond_with("ok"));
     settings.reloadable.stop_grace_period = std::chrono::milliseconds{3500};
     start();
+    constexpr int count = 20;
     std::vector<std::shared_ptr<scripted_caller>> callers;
-    for (int index = 0; index < 20; ++index) {
+    callers.reserve(std::size_t{2} * count);
+    for (int index = 0; index < count; ++index) {
         callers.push_back(send(post_request("before" + std::to_string(index), "x")));
     }
     context.run_for(std::chrono::milliseconds{50});
     host->begin_stop();
-    for (int index = 0; index < 20; ++index) {
+    for (int index = 0; index < count; ++index) {
         callers.push_back(send(post_request("after" + std::to_string(index), "x")));
     }
     run_until([this] { return context.stopped(); });
