Proxy tests: One arrangement for two reports, one for many hosts before small upstreams

The same lines stood twice in test_upstream_health and in test_overload; the checks and figures are the same. In the queue a request that was moved as late is also late by its time, so its flag need not be asked there.

--- a/libraries/proxy/request_queue.cpp
+++ b/libraries/proxy/request_queue.cpp
@@ -97,7 +97,7 @@
         const auto& [key, waiting] = entry;
         const auto priority = std::tie(key.customer_priority, key.route_priority);
         const auto new_priority = std::tie(customer_priority, route_priority);
-        const bool late = key.late || waiting.late_after < now;
+        const bool late = waiting.late_after < now;
         return priority < new_priority || (priority == new_priority && !late);
     }));
 }
--- a/tests/proxy/test_overload.cpp
+++ b/tests/proxy/test_overload.cpp
@@ -13,8 +13,8 @@
 /// Fraction of the served requests that must meet their target latency while the service is overloaded.
 constexpr double minimum_in_time_fraction = 0.5;
 
-/// Upstreams with two slots and short work behind six active hosts, with about a third more work than slots.
-overload_options many_small_upstreams(unsigned seed)
+/// Upstreams with two slots behind six active hosts, with more requests than they can execute.
+overload_options many_hosts_and_small_upstreams(unsigned seed)
 {
     overload_options options;
     options.seed = seed;
@@ -24,9 +24,6 @@
     options.upstreams = 8;
     options.slots = 2;
     options.upstream_queue_length = 8;
-    options.mean_execution_time = milliseconds{200};
-    options.long_timeout = milliseconds{2800};
-    options.target_latency = milliseconds{800};
     options.long_requests_per_second = 110;
     return options;
 }
@@ -39,7 +36,11 @@
 {
     for (unsigned seed = 1; seed <= 6; ++seed) {
         CAPTURE(seed);
-        overload_emulation emulation{many_small_upstreams(seed)};
+        auto options = many_hosts_and_small_upstreams(seed);
+        options.mean_execution_time = milliseconds{200};
+        options.long_timeout = milliseconds{2800};
+        options.target_latency = milliseconds{800};
+        overload_emulation emulation{options};
         emulation.run(seconds{40});
         const auto& requests = emulation.long_requests();
         REQUIRE(requests.sent > 1000);
@@ -74,17 +75,9 @@
 {
     for (unsigned seed = 1; seed <= 5; ++seed) {
         CAPTURE(seed);
-        overload_options options;
-        options.seed = seed;
-        options.active_hosts = 6;
-        options.standby_hosts = 30;
-        options.first_host_fraction = 0.17;
-        options.upstreams = 8;
-        options.slots = 2;
-        options.upstream_queue_length = 8;
+        auto options = many_hosts_and_small_upstreams(seed);
         options.mean_execution_time = milliseconds{190};
         options.long_timeout = milliseconds{2200};
-        options.long_requests_per_second = 110;
         overload_emulation emulation{options};
         emulation.run(seconds{50});
         CHECK(emulation.useful_fraction() >= minimum_useful_fraction);
--- a/tests/proxy/test_upstream_health.cpp
+++ b/tests/proxy/test_upstream_health.cpp
@@ -4,6 +4,25 @@
 #include <doctest/doctest.h>
 
 namespace wisterialane::proxy {
+namespace {
+
+/// When the other hosts report in `reported_by_two_hosts`.
+constexpr auto reported_at = test_start + seconds{2};
+
+/// Returns the health after two other hosts have reported this outcome; the upstream may have answered this host at the
+/// start.
+upstream_health reported_by_two_hosts(exchange_outcome outcome, bool has_answered)
+{
+    upstream_health health;
+    if (has_answered) {
+        health.record(exchange_outcome::good, test_start);
+    }
+    health.record_report(kernel::host_name{"one"}, outcome, reported_at);
+    health.record_report(kernel::host_name{"two"}, outcome, reported_at);
+    return health;
+}
+
+} // namespace
 
 // Guards against a failing upstream that is released early, because many are suspected, and then gets every trial: a
 // failed trial did not count before the end of the ejection time.
@@ -75,16 +94,10 @@
 {
     for (const bool has_answered : {false, true}) {
         CAPTURE(has_answered);
-        upstream_health health;
-        if (has_answered) {
-            health.record(exchange_outcome::good, test_start);
-        }
-        const auto now = test_start + seconds{2};
-        health.record_report(kernel::host_name{"one"}, exchange_outcome::connect_failed, now);
-        health.record_report(kernel::host_name{"two"}, exchange_outcome::connect_failed, now);
-        CHECK(health.state(now) == (has_answered ? trust::trusted : trust::suspected));
-        health.record_report(kernel::host_name{"one"}, exchange_outcome::good, now + seconds{1});
-        CHECK(health.state(now + seconds{1}) == trust::trusted);
+        auto health = reported_by_two_hosts(exchange_outcome::connect_failed, has_answered);
+        CHECK(health.state(reported_at) == (has_answered ? trust::trusted : trust::suspected));
+        health.record_report(kernel::host_name{"one"}, exchange_outcome::good, reported_at + seconds{1});
+        CHECK(health.state(reported_at + seconds{1}) == trust::trusted);
     }
 }
 
@@ -103,16 +116,10 @@
 {
     for (const bool has_answered : {false, true}) {
         CAPTURE(has_answered);
-        upstream_health health;
-        if (has_answered) {
-            health.record(exchange_outcome::good, test_start);
-        }
-        const auto now = test_start + seconds{2};
-        health.record_report(kernel::host_name{"one"}, exchange_outcome::timed_out, now);
-        health.record_report(kernel::host_name{"two"}, exchange_outcome::timed_out, now);
-        CHECK(health.state(now) == (has_answered ? trust::trusted : trust::suspected));
-        health.record(exchange_outcome::timed_out, now);
-        CHECK(health.state(now) == trust::suspected);
+        auto health = reported_by_two_hosts(exchange_outcome::timed_out, has_answered);
+        CHECK(health.state(reported_at) == (has_answered ? trust::trusted : trust::suspected));
+        health.record(exchange_outcome::timed_out, reported_at);
+        CHECK(health.state(reported_at) == trust::suspected);
     }
 }
 
