--- a/libraries/proxy/caller_session.cpp
+++ b/libraries/proxy/caller_session.cpp
@@ -125,7 +125,7 @@
     const bool all_answered = std::all_of(exchanges_.begin(), exchanges_.end(),
                                           [](const auto& exchange) { return exchange->response_.has_value(); });
     if (exchanges_.empty() || !all_answered) {
-        disconnect();
+        abort();
     }
 }
 
@@ -320,7 +320,7 @@
     output_timer_.expires_after(write_timeout);
     output_timer_.async_wait([weak = weak_from_this()](error_code cancelled) {
         if (const auto self = weak.lock(); self && !cancelled) {
-            self->disconnect();
+            self->abort();
         }
     });
     boost::asio::async_write(socket_, buffers, [self = shared_from_this(), close](error_code error, std::size_t) {
@@ -329,7 +329,7 @@
             return;
         }
         if (error) {
-            self->disconnect();
+            self->abort();
             return;
         }
         self->on_response_sent(close);
@@ -362,7 +362,7 @@
         return;
     }
     if (input_closed_ && exchanges_.empty()) {
-        disconnect();
+        abort();
         return;
     }
     parse();
@@ -411,7 +411,7 @@
     input_timer_.expires_after(timeout);
     input_timer_.async_wait([weak = weak_from_this()](error_code cancelled) {
         if (const auto self = weak.lock(); self && !cancelled) {
-            self->disconnect();
+            self->abort();
         }
     });
 }
@@ -427,7 +427,7 @@
     await_input();
 }
 
-void caller_session::disconnect()
+void caller_session::abort()
 {
     if (closed_) {
         return;
@@ -446,15 +446,10 @@
     }
 }
 
-void caller_session::abort()
-{
-    disconnect();
-}
-
 void caller_session::close_if_idle()
 {
     if (exchanges_.empty() && !parser_ && buffer_.size() == 0 && !lingering_) {
-        disconnect();
+        abort();
     }
 }
 
--- a/libraries/proxy/caller_session.h
+++ b/libraries/proxy/caller_session.h
@@ -49,7 +49,7 @@
 
     void start();
 
-    /// Closes the connection. Other exchanges that are in progress end as if the caller had disconnected.
+    /// Closes the connection. Exchanges that are in progress end as if the caller had disconnected.
     void abort();
 
     /// Closes the connection if no request has begun.
@@ -96,7 +96,6 @@
     void set_input_timeout();
     void expire_input_after(kernel::duration timeout);
     void linger();
-    void disconnect();
 
     tcp_stream::socket_type socket_;
     timer input_timer_;
