--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -188,8 +188,7 @@
     if (!environment_.routing) {
         return false;
     }
-    const auto host_name = normalize_host_name(to_view(request[boost::beast::http::field::host]));
-    const auto* route = environment_.routing->find_route(host_name, path_of(to_view(request.target())));
+    const auto* route = find_route(*environment_.routing, request);
     return route != nullptr && route->semantics == route_semantics::idempotent;
 }
 
--- a/libraries/proxy/request_admission.cpp
+++ b/libraries/proxy/request_admission.cpp
@@ -22,6 +22,12 @@
 
 } // namespace
 
+const traffic_route* find_route(const routing_table& table, const http_request& request)
+{
+    const auto host = normalize_host_name(to_view(request[boost::beast::http::field::host]));
+    return table.find_route(host, path_of(to_view(request.target())));
+}
+
 tl::expected<void, refusal> request_admission::admit(kernel::time_point now)
 {
     if (const auto found = find_route(now); !found) {
@@ -63,8 +69,7 @@
         request_.count(boost::beast::http::field::host) != 1) {
         return tl::unexpected{refusal{400, "malformed", std::nullopt}};
     }
-    const auto host = normalize_host_name(to_view(request_[boost::beast::http::field::host]));
-    context_.route = context_.table->find_route(host, path_of(target));
+    context_.route = proxy::find_route(*context_.table, request_);
     if (context_.route != nullptr) {
         return {};
     }
--- a/libraries/proxy/request_admission.h
+++ b/libraries/proxy/request_admission.h
@@ -45,6 +45,9 @@
     }
 };
 
+/// Returns the route of a request, or null if it matches none. The route is valid as long as the table.
+[[nodiscard]] const traffic_route* find_route(const routing_table& table, const http_request& request);
+
 /// Decides whether a caller's request may be sent to an upstream: finds its route, checks its key and the rate of its
 /// customer, and selects its service.
 class request_admission {
