Request handler: Queue state, its refusal and its timers stand once

Cause: the refusal of a request that would be too late, and the count of requests in flight, stood twice (the count also in the emulation of the tests). Whether a good answer is shared is decided by should_share_evidence() alone.

--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -315,6 +315,15 @@
     return first ? std::max(kernel::duration::zero(), *first - now) : kernel::duration::zero();
 }
 
+std::size_t load_balancer::requests_in_flight(const kernel::service_name& service) const
+{
+    std::size_t count = 0;
+    for (const auto* upstream : directory_.of_service(service)) {
+        count += upstream->in_flight.size();
+    }
+    return count;
+}
+
 kernel::duration load_balancer::service_latency(const kernel::service_name& service) const
 {
     kernel::duration sum{};
--- a/libraries/proxy/load_balancer.h
+++ b/libraries/proxy/load_balancer.h
@@ -76,6 +76,9 @@
     /// for a time that they named; zero otherwise.
     [[nodiscard]] kernel::duration time_until_open(const kernel::service_name& service, kernel::time_point now) const;
 
+    /// Requests of this host in flight at the service's upstreams, including draining ones.
+    [[nodiscard]] std::size_t requests_in_flight(const kernel::service_name& service) const;
+
     /// Mean latency of the service's upstreams; an assumed value before the first answer.
     [[nodiscard]] kernel::duration service_latency(const kernel::service_name& service) const;
 
--- a/libraries/proxy/request_handler.cpp
+++ b/libraries/proxy/request_handler.cpp
@@ -125,9 +125,7 @@
 {
     const int customer_priority = context_.customer == nullptr ? 0 : context_.customer->priority;
     const auto state = current_queue_state(queue().count_ahead_of(customer_priority, context_.route->priority, now));
-    if (!should_wait(state, context_.response_deadline - now)) {
-        const auto retry_after = std::max<kernel::duration>(expected_wait(state), overload_retry_after);
-        end_unserved({failure_status(), "overloaded", retry_after});
+    if (refuse_if_too_late(state, now)) {
         return;
     }
     queued_at_ = now;
@@ -139,23 +137,35 @@
         await_last_dispatch(now);
         return;
     }
-    queue_timer_.expires_after(late_after - now);
-    queue_timer_.async_wait([self = shared_from_this()](error_code cancelled) {
-        if (!cancelled && !self->ended_ && self->ticket_) {
-            self->on_late();
-        }
-    });
+    start_queue_timer(late_after - now, &request_handler::on_late);
 }
 
 queue_state request_handler::current_queue_state(std::size_t ahead) const
 {
-    queue_state state;
-    state.usual_latency = environment_.balancer.service_latency(context_.service);
-    state.ahead = ahead;
-    for (const auto* candidate : environment_.upstreams.of_service(context_.service)) {
-        state.in_flight += candidate->in_flight.size();
+    return {environment_.balancer.service_latency(context_.service), ahead,
+            environment_.balancer.requests_in_flight(context_.service)};
+}
+
+// Returns whether the request was refused, because no response can be expected before its deadline.
+bool request_handler::refuse_if_too_late(const queue_state& state, kernel::time_point now)
+{
+    if (should_wait(state, context_.response_deadline - now)) {
+        return false;
     }
-    return state;
+    const auto retry_after = std::max<kernel::duration>(expected_wait(state), overload_retry_after);
+    end_unserved({failure_status(), "overloaded", retry_after});
+    return true;
+}
+
+// Calls the function after this time if the request still waits.
+void request_handler::start_queue_timer(kernel::duration wait, void (request_handler::*callback)())
+{
+    queue_timer_.expires_after(wait);
+    queue_timer_.async_wait([self = shared_from_this(), callback](error_code cancelled) {
+        if (!cancelled && !self->ended_ && self->ticket_) {
+            (self.get()->*callback)();
+        }
+    });
 }
 
 // The request can no longer meet its target latency. Others now go first, so a response before the deadline may no
@@ -164,23 +174,21 @@
 {
     const auto now = environment_.clock();
     const auto state = current_queue_state(queue().count_ahead_of_late(*ticket_));
-    if (!should_wait(state, context_.response_deadline - now)) {
-        const auto retry_after = std::max<kernel::duration>(expected_wait(state), overload_retry_after);
-        end_unserved({failure_status(), "overloaded", retry_after});
-        return;
+    if (!refuse_if_too_late(state, now)) {
+        await_last_dispatch(now);
     }
-    await_last_dispatch(now);
 }
 
 void request_handler::await_last_dispatch(kernel::time_point now)
 {
     const auto usual_latency = environment_.balancer.service_latency(context_.service);
-    queue_timer_.expires_after(context_.response_deadline - minimum_dispatch_time(usual_latency) - now);
-    queue_timer_.async_wait([self = shared_from_this()](error_code cancelled) {
-        if (!cancelled && !self->ended_ && self->ticket_) {
-            self->end_unserved({self->failure_status(), "overloaded", overload_retry_after});
-        }
-    });
+    start_queue_timer(context_.response_deadline - minimum_dispatch_time(usual_latency) - now,
+                      &request_handler::on_last_dispatch);
+}
+
+void request_handler::on_last_dispatch()
+{
+    end_unserved({failure_status(), "overloaded", overload_retry_after});
 }
 
 // Returns whether the request has left the queue.
@@ -363,9 +371,7 @@
     }
     if (outcome == exchange_outcome::good) {
         environment_.quarantine.record_success(context_.fingerprint, now);
-        if (unexpected) {
-            share_evidence(ended, outcome, result, unexpected, now);
-        }
+        share_evidence(ended, outcome, result, unexpected, now);
         return;
     }
     environment_.log.write(now, line_priority::important, proxy_event::attempt_failed,
--- a/libraries/proxy/request_handler.h
+++ b/libraries/proxy/request_handler.h
@@ -49,8 +49,11 @@
     void end_without_upstream(kernel::time_point now);
     void enqueue(kernel::time_point now);
     [[nodiscard]] queue_state current_queue_state(std::size_t ahead) const;
+    [[nodiscard]] bool refuse_if_too_late(const queue_state& state, kernel::time_point now);
+    void start_queue_timer(kernel::duration wait, void (request_handler::*callback)());
     void on_late();
     void await_last_dispatch(kernel::time_point now);
+    void on_last_dispatch();
     bool dispatch_from_queue();
     void leave_queue();
     void send_to(tracked_upstream& chosen, kernel::time_point now);
--- a/tests/proxy/overload_emulation.cpp
+++ b/tests/proxy/overload_emulation.cpp
@@ -127,11 +127,7 @@
 
 queue_state overload_emulation::current_state(const host& at, std::size_t ahead)
 {
-    queue_state state{at.balancer.service_latency(service), ahead, 0};
-    for (const auto* candidate : at.directory.of_service(service)) {
-        state.in_flight += candidate->in_flight.size();
-    }
-    return state;
+    return {at.balancer.service_latency(service), ahead, at.balancer.requests_in_flight(service)};
 }
 
 bool overload_emulation::dispatch_from_queue(const request_pointer& waiting)
