Store watch: A version that a host cannot apply confirms nothing, at no host

Cause: store_watch::on_configuration() took only the answer with the refused version as no confirmation. The next poll brought no row, so the version in force was confirmed as the newest, the age limit on keys never took effect, and relays freed the other hosts. A document that could not be read failed the call instead, and a deleted one counted as no change. Change: the watch keeps what became of the newest version that it has read (in force, not applicable, none published) until the store holds another one; only 'in force' is confirmed. A host that cannot apply it is no store reader, so that hosts which can are not held back by its relays. Metric wisterialane_configuration_not_applicable; event configuration_kept also for unreadable documents.

--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -238,6 +238,7 @@
         const auto age = environment_.freshness.age(now).value_or(now - started_at_);
         metrics.set_configuration(environment_.routing->version(), age);
     }
+    metrics.set_configuration_not_applicable(store_watch_->lacks_newest_version());
     metrics.set_dropped_log_lines(environment_.log.dropped_lines());
 }
 
--- a/libraries/proxy/proxy_metrics.cpp
+++ b/libraries/proxy/proxy_metrics.cpp
@@ -57,6 +57,11 @@
                              .Help("Time since the version was known to be the newest")
                              .Register(*registry_)
                              .Add({})},
+      configuration_not_applicable_{prometheus::BuildGauge()
+                                        .Name("wisterialane_configuration_not_applicable")
+                                        .Help("1 while the store holds a version that this host cannot apply")
+                                        .Register(*registry_)
+                                        .Add({})},
       dropped_log_lines_{prometheus::BuildGauge()
                              .Name("wisterialane_log_lines_left_out")
                              .Help("Log lines left out since the start")
@@ -113,6 +118,11 @@
     configuration_age_.Set(seconds{age}.count());
 }
 
+void proxy_metrics::set_configuration_not_applicable(bool not_applicable)
+{
+    configuration_not_applicable_.Set(not_applicable ? 1 : 0);
+}
+
 void proxy_metrics::set_dropped_log_lines(std::uint64_t count)
 {
     dropped_log_lines_.Set(static_cast<double>(count));
--- a/libraries/proxy/proxy_metrics.h
+++ b/libraries/proxy/proxy_metrics.h
@@ -32,6 +32,8 @@
     void record_pipeline_wait(kernel::duration waited);
     void set_upstreams(std::string_view state, std::size_t count);
     void set_configuration(kernel::version_number version, kernel::duration age);
+    /// Sets whether the store holds a version that this host cannot apply.
+    void set_configuration_not_applicable(bool not_applicable);
     void set_dropped_log_lines(std::uint64_t count);
 
     /// Returns all series in the Prometheus text format.
@@ -48,6 +50,7 @@
     prometheus::Family<prometheus::Gauge>& upstreams_;
     prometheus::Gauge& configuration_version_;
     prometheus::Gauge& configuration_age_;
+    prometheus::Gauge& configuration_not_applicable_;
     prometheus::Gauge& dropped_log_lines_;
     std::map<kernel::customer_name, prometheus::Histogram*> customer_histograms_;
 };
--- a/libraries/proxy/store_client.h
+++ b/libraries/proxy/store_client.h
@@ -29,6 +29,9 @@
     response_metadata metadata;
     /// Empty if no configuration has been published, or none after the requested revision.
     std::optional<traffic_configuration> configuration;
+    /// Why the newest configuration cannot be read, if it was published after the requested revision. It may revoke
+    /// what the version in force allows.
+    std::optional<kernel::failure> unreadable = std::nullopt;
 };
 
 struct upstreams_reading {
--- a/libraries/proxy/store_watch.cpp
+++ b/libraries/proxy/store_watch.cpp
@@ -111,7 +111,7 @@
 
 bool store_watch::reaches_store(kernel::time_point now) const
 {
-    return !failing_since_ && last_success_at_ && now - *last_success_at_ < success_lifetime;
+    return !failing_since_ && !lacks_newest_version() && last_success_at_ && now - *last_success_at_ < success_lifetime;
 }
 
 void store_watch::watch_configuration()
@@ -124,8 +124,11 @@
     }
     reading_configuration_ = true;
     configuration_call_sent_at_ = now;
-    const auto done = [self = shared_from_this()](const auto& reading) { self->on_configuration(reading); };
-    if (configuration_revision_) {
+    const bool complete = !configuration_revision_;
+    const auto done = [self = shared_from_this(), complete](const auto& reading) {
+        self->on_configuration(reading, complete);
+    };
+    if (!complete) {
         // While calls fail, the store is asked to answer at once, so that an unanswered call times out early.
         const auto poll_timeout = configuration_retry_.has_failed() ? milliseconds{0} : configuration_poll_timeout;
         store_.await_configuration(*configuration_revision_, poll_timeout, done);
@@ -134,7 +137,7 @@
     store_.read_configuration(done);
 }
 
-void store_watch::on_configuration(const kernel::result<configuration_reading>& reading)
+void store_watch::on_configuration(const kernel::result<configuration_reading>& reading, bool complete)
 {
     reading_configuration_ = false;
     if (stopped_) {
@@ -155,8 +158,8 @@
         restart_upstreams_call();
     }
     upstreams_.remove_missing(hooks_.clock());
-    const bool in_force = !reading->configuration || hooks_.apply(*reading->configuration);
-    if (in_force && hooks_.version().value() > 0) {
+    apply_reading(*reading, complete);
+    if (newest_ == newest_version::in_force) {
         freshness_.confirm(store_clock_, reading->metadata.store_now);
         confirmed_at_ = std::max(confirmed_at_, reading->metadata.store_now);
     }
@@ -167,6 +170,23 @@
     watch_configuration();
 }
 
+// A later reading without a change says nothing more about a version that could not be applied, so the result is kept
+// until the store holds another one.
+void store_watch::apply_reading(const configuration_reading& reading, bool complete)
+{
+    if (reading.configuration) {
+        newest_ = hooks_.apply(*reading.configuration) ? newest_version::in_force : newest_version::not_applicable;
+    }
+    else if (reading.unreadable) {
+        newest_ = newest_version::not_applicable;
+        log_.write(hooks_.clock(), line_priority::important, proxy_event::configuration_kept,
+                   {{"reason", std::string{reading.unreadable->name()}}, {"object", reading.unreadable->subject()}});
+    }
+    else if (complete) {
+        newest_ = newest_version::none_published;
+    }
+}
+
 // A call that was sent while the store was unavailable may never be answered.
 void store_watch::restart_upstreams_call()
 {
--- a/libraries/proxy/store_watch.h
+++ b/libraries/proxy/store_watch.h
@@ -43,7 +43,8 @@
 class store_watch : public std::enable_shared_from_this<store_watch> {
 public:
     struct hooks {
-        /// Applies a version that was read. Returns whether that version or a newer one is in force now.
+        /// Applies a version that was read. Returns whether that version or a newer one is in force now; if not, the
+        /// version in force is no longer confirmed.
         std::function<bool(traffic_configuration)> apply;
         /// The version in force; 0 before the first.
         std::function<kernel::version_number()> version;
@@ -69,15 +70,23 @@
     /// Time that this host still waits for a relay before it reads the store itself; zero if it does not wait.
     [[nodiscard]] kernel::duration remaining_relay_wait(kernel::time_point now) const;
 
-    /// Whether the last call to the store succeeded and is recent.
+    /// Whether the last call to the store succeeded and is recent, and this host can use what it reads.
     [[nodiscard]] bool reaches_store(kernel::time_point now) const;
 
+    /// Whether the store holds a configuration that this host cannot apply. Until a newer one is in force, no version
+    /// is confirmed, and the host cannot be the store reader: another one may be able to apply it.
+    [[nodiscard]] bool lacks_newest_version() const { return newest_ == newest_version::not_applicable; }
+
     /// Whether the upstreams have been read. False again while a full read is required.
     [[nodiscard]] bool has_upstreams() const { return upstreams_revision_.has_value(); }
 
 private:
+    /// What this host has done with the newest version that it has read.
+    enum class newest_version { none_published, in_force, not_applicable };
+
     void watch_configuration();
-    void on_configuration(const kernel::result<configuration_reading>& reading);
+    void on_configuration(const kernel::result<configuration_reading>& reading, bool complete);
+    void apply_reading(const configuration_reading& reading, bool complete);
     void read_newer_version(kernel::time_point now);
     [[nodiscard]] bool configuration_call_is_overdue(kernel::time_point now) const;
     void watch_upstreams();
@@ -113,6 +122,7 @@
     std::optional<kernel::time_point> last_success_at_;
     std::optional<kernel::time_point> relay_received_at_;
     store_time confirmed_at_{};
+    newest_version newest_ = newest_version::none_published;
     bool reading_configuration_ = false;
     bool reading_upstreams_ = false;
     bool stopped_ = false;
--- a/tests/edge/test_store_source.cpp
+++ b/tests/edge/test_store_source.cpp
@@ -75,6 +75,31 @@
     CHECK(reading->configuration->version == kernel::version_number{3});
 }
 
+// Guards against a version that is taken for no change because its document cannot be read.
+TEST_CASE_FIXTURE(source_fixture, "store_source: configuration unreadable or deleted: is reported, with its revision")
+{
+    store.put("op", "config", configuration);
+    const auto read = [this] {
+        return wait<proxy::configuration_reading>([this](auto done) { source->read_configuration(std::move(done)); });
+    };
+    const auto before = read();
+    REQUIRE(before);
+    store.put("op", "config", "{\"version\":");
+    const auto broken = read();
+    REQUIRE(broken);
+    CHECK_FALSE(broken->configuration);
+    REQUIRE(broken->unreadable);
+    CHECK(broken->unreadable->is(proxy::proxy_event::unreadable_document));
+    CHECK(broken->metadata.revision > before->metadata.revision);
+    store.erase("op", "config");
+    const auto deleted = wait<proxy::configuration_reading>([this, &broken](auto done) {
+        source->await_configuration(broken->metadata.revision, milliseconds{300}, std::move(done));
+    });
+    REQUIRE(deleted);
+    CHECK_FALSE(deleted->configuration);
+    CHECK(deleted->unreadable);
+}
+
 // Guards against lost upstreams: a response of the store holds only the first rows of a large table.
 TEST_CASE_FIXTURE(source_fixture, "store_source: more entries than one answer holds: all are read")
 {
--- a/tests/proxy/test_store_watch.cpp
+++ b/tests/proxy/test_store_watch.cpp
@@ -2,6 +2,8 @@
 #include "libraries/proxy/store_watch.h"
 #include "tests/proxy/proxy_fixture.h"
 
+#include <set>
+
 #include <unistd.h>
 
 #include <doctest/doctest.h>
@@ -66,14 +68,13 @@
     proxy_metrics metrics;
     kernel::decision_log log{{-1, 1000, 1000}};
     kernel::version_number version{0};
+    /// Versions that the host cannot apply.
+    std::set<std::uint64_t> refused_versions;
     bool store_reader = false;
     std::vector<store_relay> relayed;
     std::shared_ptr<store_watch> watch = std::make_shared<store_watch>(
         context, store, directory, freshness, metrics, log,
-        store_watch::hooks{[this](const traffic_configuration& next) {
-                               version = next.version;
-                               return true;
-                           },
+        store_watch::hooks{[this](const traffic_configuration& next) { return apply(next); },
                            [this] { return version; }, [this](auto) { return store_reader; },
                            [this](auto relay) { relayed.push_back(std::move(relay)); }, [this] { return now; }});
 
@@ -86,6 +87,36 @@
         store.configuration(configuration_reading{make_metadata(10), first});
     }
 
+    bool apply(const traffic_configuration& next)
+    {
+        if (refused_versions.contains(next.version.value())) {
+            return false;
+        }
+        version = next.version;
+        return true;
+    }
+
+    /// Lets the host wait for changes of the configuration at the store.
+    void await_configuration()
+    {
+        store_reader = true;
+        watch->begin_reading();
+        REQUIRE(store.configuration);
+    }
+
+    void answer_without_change()
+    {
+        const auto done = std::exchange(store.configuration, nullptr);
+        done(configuration_reading{make_metadata(20), std::nullopt});
+    }
+
+    void answer_unreadable()
+    {
+        const auto done = std::exchange(store.configuration, nullptr);
+        done(configuration_reading{make_metadata(20), std::nullopt,
+                                   kernel::failure{proxy_event::unreadable_document, "version"}});
+    }
+
     [[nodiscard]] response_metadata make_metadata(std::uint64_t revision) const
     {
         return {now, std::chrono::duration_cast<store_time>(now - test_start), store_revision{revision}};
@@ -328,6 +359,75 @@
     CHECK(store.upstreams);
 }
 
+// Guards against a revoked key that is served without an end (review, CONFIG): the poll after a version that the host
+// refused brought no change, which confirmed the version in force, and the age limit on keys never took effect.
+TEST_CASE_FIXTURE(watch_fixture,
+                  "store_watch: version that cannot be applied: neither it nor later polls confirm the one in force")
+{
+    await_configuration();
+    refused_versions = {6};
+    answer_configuration(6);
+    now += seconds{3};
+    answer_without_change();
+    now += seconds{3};
+    answer_without_change();
+    CHECK(version == kernel::version_number{5});
+    CHECK(*freshness.age(now) >= seconds{6});
+    answer_configuration(7);
+    CHECK(*freshness.age(now) < milliseconds{1});
+    now += seconds{3};
+    answer_without_change();
+    CHECK(*freshness.age(now) < milliseconds{1});
+}
+
+// Guards against the same by a document that cannot be read at all, or that was deleted.
+TEST_CASE_FIXTURE(watch_fixture,
+                  "store_watch: newest document unreadable: neither it nor later polls confirm the version in force")
+{
+    await_configuration();
+    answer_unreadable();
+    now += seconds{3};
+    answer_without_change();
+    CHECK(*freshness.age(now) >= seconds{3});
+}
+
+// Guards against a false confirmation of one host that frees the other hosts of its data centre, and against hosts that
+// could apply a version but rely on a store reader that cannot.
+TEST_CASE_FIXTURE(
+    watch_fixture,
+    "store_watch: store reader cannot apply the newest version: relays confirm nothing, it gives the role up")
+{
+    await_configuration();
+    REQUIRE(watch->reaches_store(now));
+    relayed.clear();
+    refused_versions = {6};
+    const auto confirmed_at = std::chrono::duration_cast<store_time>(now - test_start);
+    now += seconds{1};
+    answer_configuration(6);
+    now += seconds{1};
+    answer_without_change();
+    for (const auto& relay : relayed) {
+        CHECK(relay.confirmed_at <= confirmed_at);
+    }
+    CHECK(watch->lacks_newest_version());
+    CHECK_FALSE(watch->reaches_store(now));
+    answer_configuration(7);
+    CHECK(watch->reaches_store(now));
+    CHECK(relayed.back().confirmed_at > confirmed_at);
+}
+
+// Guards against a confirmation of a version that the store does not hold any more.
+TEST_CASE_FIXTURE(watch_fixture, "store_watch: complete reading without a configuration: confirms nothing")
+{
+    await_configuration();
+    const auto lost = std::exchange(store.configuration, nullptr);
+    lost(kernel::fail(proxy_event::store_history_lost));
+    run_until([&] { return store.configuration != nullptr; });
+    now += seconds{3};
+    answer_without_change();
+    CHECK(*freshness.age(now) >= seconds{3});
+}
+
 TEST_CASE("retry_backoff: consecutive failures: the delay doubles up to its maximum and is reset by a success")
 {
     retry_backoff short_backoff{milliseconds{600}};
