Routes: Weights may have fractions, and any size

Change: weights are finite, not negative numbers; the selector works with their shares, which are computed without overflow or underflow.

--- a/libraries/proxy/routing_table.cpp
+++ b/libraries/proxy/routing_table.cpp
@@ -60,14 +60,14 @@
     if (route.host_name.empty()) {
         return kernel::fail(proxy_event::invalid_host_name, route.name.value());
     }
-    unsigned total_weight = 0;
+    double greatest_weight = 0;
     for (const auto& weighted : route.services) {
         if (find_service(weighted.service) == nullptr) {
             return kernel::fail(proxy_event::unknown_service, route.name.value());
         }
-        total_weight += weighted.weight;
+        greatest_weight = std::max(greatest_weight, weighted.weight);
     }
-    if (total_weight == 0) {
+    if (greatest_weight <= 0) {
         return kernel::fail(proxy_event::unknown_service, route.name.value());
     }
     return {};
--- a/libraries/proxy/traffic_configuration.h
+++ b/libraries/proxy/traffic_configuration.h
@@ -18,7 +18,8 @@
 /// One of the services among which a route distributes its requests by weight.
 struct weighted_service {
     kernel::service_name service;
-    unsigned weight = 1;
+    /// Not negative and finite. Only the proportions between the weights of a route matter.
+    double weight = 1;
 
     friend bool operator==(const weighted_service&, const weighted_service&) = default;
 };
--- a/libraries/proxy/weighted_selector.cpp
+++ b/libraries/proxy/weighted_selector.cpp
@@ -1,17 +1,40 @@
 #include "libraries/proxy/weighted_selector.h"
 
 #include <algorithm>
+#include <functional>
 #include <numeric>
 
 namespace wisterialane::proxy {
+namespace {
+
+// Weights are divided by the greatest one first, because the sum of great weights may not be finite.
+std::vector<double> shares_of(const std::vector<weighted_service>& services)
+{
+    double greatest = 0;
+    for (const auto& weighted : services) {
+        greatest = std::max(greatest, weighted.weight);
+    }
+    std::vector<double> shares;
+    shares.reserve(services.size());
+    for (const auto& weighted : services) {
+        shares.push_back(weighted.weight / greatest);
+    }
+    const auto total = std::accumulate(shares.begin(), shares.end(), 0.0);
+    for (auto& share : shares) {
+        share /= total;
+    }
+    return shares;
+}
+
+} // namespace
 
 void weighted_selector::reset(route_rotation& rotation, const traffic_route& route)
 {
     rotation.services = route.services;
+    rotation.shares = shares_of(route.services);
     rotation.credits.clear();
-    for (const auto& service : rotation.services) {
-        rotation.credits.push_back(
-            std::uniform_real_distribution<double>{0, static_cast<double>(service.weight)}(random_));
+    for (const auto share : rotation.shares) {
+        rotation.credits.push_back(std::uniform_real_distribution<double>{0, share}(random_));
     }
 }
 
@@ -24,13 +47,10 @@
     if (rotation.services != route.services) {
         reset(rotation, route);
     }
-    double total = 0;
-    for (std::size_t index = 0; index < rotation.services.size(); ++index) {
-        rotation.credits[index] += rotation.services[index].weight;
-        total += rotation.services[index].weight;
-    }
+    std::transform(rotation.credits.begin(), rotation.credits.end(), rotation.shares.begin(), rotation.credits.begin(),
+                   std::plus{});
     const auto best = std::max_element(rotation.credits.begin(), rotation.credits.end());
-    *best -= total;
+    *best -= 1;
     return route.services[static_cast<std::size_t>(best - rotation.credits.begin())].service;
 }
 
--- a/libraries/proxy/weighted_selector.h
+++ b/libraries/proxy/weighted_selector.h
@@ -16,12 +16,14 @@
 public:
     explicit weighted_selector(std::uint64_t seed) : random_{seed} {}
 
-    /// The service for the next request. `route.services` is not empty.
+    /// The service for the next request. `route.services` is not empty, and a weight is positive.
     [[nodiscard]] const kernel::service_name& next(const traffic_route& route);
 
 private:
     struct route_rotation {
         std::vector<weighted_service> services;
+        /// Shares of the requests; they add up to 1.
+        std::vector<double> shares;
         std::vector<double> credits;
     };
 
--- a/tests/proxy/test_platform_formats.cpp
+++ b/tests/proxy/test_platform_formats.cpp
@@ -49,6 +49,18 @@
     CHECK(configuration->customers[0].keys.size() == 2);
 }
 
+// Guards against a version that is refused, or put in force with other proportions, because a weight has a fraction.
+TEST_CASE("read_configuration_document: weights with fractions: are kept")
+{
+    std::string text{document};
+    text.replace(text.find(":90}"), 3, ":0.9");
+    text.replace(text.find(":10}"), 3, ":0.1");
+    const auto configuration = read_configuration_document(text);
+    REQUIRE(configuration);
+    CHECK(configuration->routes[0].services[0].weight == 0.9);
+    CHECK(configuration->routes[0].services[1].weight == 0.1);
+}
+
 TEST_CASE("read_configuration_document: truncated or ill-typed: fails")
 {
     const std::string text{document};
--- a/tests/proxy/test_traffic.cpp
+++ b/tests/proxy/test_traffic.cpp
@@ -4,6 +4,7 @@
 #include "libraries/proxy/weighted_selector.h"
 #include "tests/proxy/proxy_fixture.h"
 
+#include <cmath>
 #include <map>
 #include <string>
 
@@ -87,6 +88,32 @@
     }
 }
 
+// Guards against weights that are truncated to whole numbers (review, CONFIG: 0.9 and 0.1 became 0, so that the whole
+// version was refused; 2.5 and 1 became 2 and 1).
+TEST_CASE("weighted_selector: weights of any size, with fractions: the shares are their proportions")
+{
+    struct split {
+        double first;
+        double second;
+        double share_of_second;
+    };
+
+    for (const auto& [first, second, share_of_second] :
+         {split{0.9, 0.1, 0.1}, split{0.0004, 0.0001, 0.2}, split{2.5, 1, 1 / 3.5}, split{1e-320, 1e-320, 0.5},
+          split{1e308, 1e308, 0.5}, split{1, 0, 0}, split{0, 3, 1}}) {
+        CAPTURE(first);
+        auto route = make_route("split", "/");
+        route.services = {{kernel::service_name{"old"}, first}, {kernel::service_name{"new"}, second}};
+        weighted_selector selector{7};
+        int count = 0;
+        constexpr int requests = 7000;
+        for (int request = 0; request < requests; ++request) {
+            count += selector.next(route) == kernel::service_name{"new"} ? 1 : 0;
+        }
+        CHECK(std::abs(count - share_of_second * requests) <= 1.5);
+    }
+}
+
 TEST_CASE("fleet_retry_budget: eight hosts retry as often as allowed: the fleet stays within ratio and slack")
 {
     std::vector<fleet_retry_budget> hosts(8);
