--- a/libraries/proxy/customer_quota.cpp
+++ b/libraries/proxy/customer_quota.cpp
@@ -16,6 +16,7 @@
 /// This many unreported admissions are reported at once when the bucket is below `share_fill_level`.
 constexpr std::uint64_t urgent_admissions = 3;
 constexpr kernel::duration minimum_retry_delay = std::chrono::milliseconds{100};
+constexpr std::chrono::hours maximum_retry_delay{1};
 constexpr double minimum_share_burst = 1.5;
 /// Fraction of the tolerated excess that the shares use; the rest covers delayed reports.
 constexpr double used_excess = 0.75;
@@ -79,8 +80,8 @@
     const bool short_of_tokens = bucket.tokens < 1 || (share_applies && bucket.share_tokens < 1);
     if (short_of_tokens) {
         const double missing = std::max(1 - bucket.tokens, (1 - bucket.share_tokens) / share());
-        const auto wait = std::chrono::duration_cast<kernel::duration>(seconds{missing / bucket.rate});
-        return std::max(minimum_retry_delay, wait);
+        const auto wait = std::min<seconds>(seconds{missing / bucket.rate}, maximum_retry_delay);
+        return std::max(minimum_retry_delay, std::chrono::duration_cast<kernel::duration>(wait));
     }
     bucket.tokens -= 1;
     bucket.share_tokens = std::max(0.0, bucket.share_tokens - 1);
--- a/tests/proxy/test_customer_quota.cpp
+++ b/tests/proxy/test_customer_quota.cpp
@@ -324,4 +324,18 @@
     CHECK_FALSE(hosts[0].admit(customer, test_start + wait));
 }
 
+// Guards against a Retry-After that overflows the clock's type.
+TEST_CASE("customer_quota: rate close to zero: the time until the next request is bounded")
+{
+    customer_quota quota;
+    traffic_customer customer;
+    customer.name = kernel::customer_name{"seller"};
+    customer.rate_per_second = 1e-300;
+    quota.configure({customer}, test_start);
+    const auto wait = quota.admit(customer.name, test_start);
+    REQUIRE(wait);
+    CHECK(*wait > seconds{1});
+    CHECK(*wait <= std::chrono::hours{1});
+}
+
 } // namespace wisterialane::proxy
