Configuration: An invalid object refuses its own requests, not the version

Change: an invalid route or customer, or a key of two customers, refuses its own requests with 503 configuration_invalid; unreadable prefixes and keys turn 404 and 401 into 503; the rest of the version is in force. Each number has a range. Customers that are null, no list or an empty list open no route.

--- a/libraries/proxy/proxy_events.cpp
+++ b/libraries/proxy/proxy_events.cpp
@@ -23,6 +23,8 @@
     std::pair{proxy_event::unreadable_document, std::string_view{"unreadable_document"}},
     std::pair{proxy_event::configuration_applied, std::string_view{"configuration_applied"}},
     std::pair{proxy_event::configuration_kept, std::string_view{"configuration_kept"}},
+    std::pair{proxy_event::configuration_object_invalid, std::string_view{"configuration_object_invalid"}},
+    std::pair{proxy_event::invalid_weights, std::string_view{"invalid_weights"}},
     std::pair{proxy_event::store_unreachable, std::string_view{"store_unreachable"}},
     std::pair{proxy_event::store_refused, std::string_view{"store_refused"}},
     std::pair{proxy_event::store_recovered, std::string_view{"store_recovered"}},
--- a/libraries/proxy/proxy_events.h
+++ b/libraries/proxy/proxy_events.h
@@ -21,6 +21,8 @@
     unreadable_document = 11015,
     configuration_applied = 11016,
     configuration_kept = 11017,
+    configuration_object_invalid = 11018,
+    invalid_weights = 11019,
     store_unreachable = 11020,
     store_refused = 11021,
     store_recovered = 11022,
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -44,6 +44,8 @@
 constexpr milliseconds reader_discovery_time{1200};
 /// Number of active hosts that is assumed until messages of the other hosts have been received.
 constexpr std::size_t assumed_active_hosts = 8;
+/// Invalid objects of a version that are logged one by one.
+constexpr std::size_t maximum_logged_faults = 20;
 constexpr milliseconds service_report_interval{1000};
 /// A service with a greater fraction of unserved requests is logged.
 constexpr double reported_unserved_fraction = 0.05;
@@ -96,7 +98,7 @@
     store_watch_ = std::make_shared<store_watch>(
         context, store_, environment_.upstreams, environment_.freshness, environment_.metrics, environment_.log,
         store_watch::hooks{
-            [this](auto configuration) { return apply(std::move(configuration)); },
+            [this](auto configuration) { apply(std::move(configuration)); },
             [this] { return environment_.routing ? environment_.routing->version() : kernel::version_number{}; },
             [this](auto now) { return is_store_reader(now); }, [this](auto relay) { send_relay(std::move(relay)); },
             environment_.clock});
@@ -236,33 +238,35 @@
     }
     if (environment_.routing) {
         const auto age = environment_.freshness.age(now).value_or(now - started_at_);
-        metrics.set_configuration(environment_.routing->version(), age);
+        metrics.set_configuration(environment_.routing->version(), age,
+                                  environment_.routing->configuration().faults.size());
     }
     metrics.set_configuration_not_applicable(store_watch_->lacks_newest_version());
     metrics.set_dropped_log_lines(environment_.log.dropped_lines());
 }
 
-bool proxy_host::apply(traffic_configuration configuration)
+void proxy_host::apply(traffic_configuration configuration)
 {
     const auto now = environment_.clock();
     const auto version = configuration.version;
     if (environment_.routing && version <= environment_.routing->version()) {
-        return true;
-    }
-    auto table = routing_table::create(std::move(configuration));
-    if (!table) {
-        environment_.log.write(now, line_priority::important, proxy_event::configuration_kept,
-                               {{"refused_version", std::to_string(version.value())},
-                                {"reason", std::string{table.error().name()}},
-                                {"object", table.error().subject()}});
-        return false;
+        return;
     }
-    environment_.routing = std::move(*table);
-    environment_.quota.configure(environment_.routing->configuration().customers, now);
+    environment_.routing = routing_table::create(std::move(configuration));
+    const auto& applied = environment_.routing->configuration();
+    environment_.quota.configure(applied.customers, now);
     environment_.log.write(now, line_priority::important, proxy_event::configuration_applied,
                            {{"version", std::to_string(version.value())},
-                            {"routes", std::to_string(environment_.routing->configuration().routes.size())}});
-    return true;
+                            {"routes", std::to_string(applied.routes.size())},
+                            {"faults", std::to_string(applied.faults.size())}});
+    const auto logged = std::min(applied.faults.size(), maximum_logged_faults);
+    for (std::size_t index = 0; index < logged; ++index) {
+        const auto& fault = applied.faults[index];
+        environment_.log.write(now, line_priority::important, proxy_event::configuration_object_invalid,
+                               {{"version", std::to_string(version.value())},
+                                {"reason", std::string{fault.name()}},
+                                {"object", fault.subject()}});
+    }
 }
 
 void proxy_host::on_directory_change(const upstream_record& record, directory_change change)
--- a/libraries/proxy/proxy_host.h
+++ b/libraries/proxy/proxy_host.h
@@ -77,7 +77,7 @@
     /// Whether a caller's request may run more than once.
     [[nodiscard]] bool is_repeatable(const http_request& request) const;
     void update_gauges(kernel::time_point now);
-    [[nodiscard]] bool apply(traffic_configuration configuration);
+    void apply(traffic_configuration configuration);
     void on_directory_change(const upstream_record& record, directory_change change);
     void on_peer_message(const kernel::result<peer_message>& received);
 
--- a/libraries/proxy/proxy_metrics.cpp
+++ b/libraries/proxy/proxy_metrics.cpp
@@ -57,6 +57,11 @@
                              .Help("Time since the version was known to be the newest")
                              .Register(*registry_)
                              .Add({})},
+      configuration_faults_{prometheus::BuildGauge()
+                                .Name("wisterialane_configuration_faults")
+                                .Help("Invalid objects of the version in force")
+                                .Register(*registry_)
+                                .Add({})},
       configuration_not_applicable_{prometheus::BuildGauge()
                                         .Name("wisterialane_configuration_not_applicable")
                                         .Help("1 while the store holds a version that this host cannot apply")
@@ -112,8 +117,9 @@
     upstreams_.Add({{"state", std::string{state}}}).Set(static_cast<double>(count));
 }
 
-void proxy_metrics::set_configuration(kernel::version_number version, kernel::duration age)
+void proxy_metrics::set_configuration(kernel::version_number version, kernel::duration age, std::size_t faults)
 {
+    configuration_faults_.Set(static_cast<double>(faults));
     configuration_version_.Set(static_cast<double>(version.value()));
     configuration_age_.Set(seconds{age}.count());
 }
--- a/libraries/proxy/proxy_metrics.h
+++ b/libraries/proxy/proxy_metrics.h
@@ -31,7 +31,8 @@
     /// Records the time that a pipelined request waited for earlier ones of its connection.
     void record_pipeline_wait(kernel::duration waited);
     void set_upstreams(std::string_view state, std::size_t count);
-    void set_configuration(kernel::version_number version, kernel::duration age);
+    /// Sets the version in force, its age, and the number of its invalid objects.
+    void set_configuration(kernel::version_number version, kernel::duration age, std::size_t faults);
     /// Sets whether the store holds a version that this host cannot apply.
     void set_configuration_not_applicable(bool not_applicable);
     void set_dropped_log_lines(std::uint64_t count);
@@ -50,6 +51,7 @@
     prometheus::Family<prometheus::Gauge>& upstreams_;
     prometheus::Gauge& configuration_version_;
     prometheus::Gauge& configuration_age_;
+    prometheus::Gauge& configuration_faults_;
     prometheus::Gauge& configuration_not_applicable_;
     prometheus::Gauge& dropped_log_lines_;
     std::map<kernel::customer_name, prometheus::Histogram*> customer_histograms_;
--- a/libraries/proxy/request_admission.cpp
+++ b/libraries/proxy/request_admission.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds response_reserve{25};
 /// Retry-After of requests that are refused because the configuration is missing or stale.
 constexpr milliseconds stale_configuration_retry_after{1000};
+/// Retry-After of requests that need an invalid object of the configuration; operators have to correct it.
+constexpr milliseconds invalid_configuration_retry_after{5000};
 /// Retry-After of requests that are refused because this host stops; the other hosts take them at once.
 constexpr milliseconds stopping_retry_after{100};
 /// Part of the bound on key revocation that is reserved for sending a request to its upstream.
@@ -70,6 +72,11 @@
         return tl::unexpected{refusal{400, "malformed", std::nullopt}};
     }
     context_.route = proxy::find_route(*context_.table, request_);
+    const bool unusable =
+        context_.route != nullptr ? !context_.route->usable : context_.table->configuration().has_unknown_routes;
+    if (unusable) {
+        return tl::unexpected{refusal{503, "configuration_invalid", invalid_configuration_retry_after}};
+    }
     if (context_.route != nullptr) {
         return {};
     }
@@ -82,16 +89,22 @@
 
 request_admission::check request_admission::authenticate(kernel::time_point now)
 {
-    if (context_.route->access == configuration::route_access::open || !context_.table->has_customers()) {
+    if (context_.route->access == configuration::route_access::open || !context_.table->requires_keys()) {
         return {};
     }
     const auto age = environment_.freshness.age(now);
     if (!age || *age + (now - context_.received_at) > environment_.age_limits.key_revocation - key_revocation_margin) {
         return tl::unexpected{refusal{503, "configuration_stale", stale_configuration_retry_after}};
     }
-    if (request_.count(environment_.names.key) == 1) {
+    const bool has_key = request_.count(environment_.names.key) == 1;
+    if (has_key) {
         context_.customer = context_.table->find_customer(to_view(request_[environment_.names.key]));
     }
+    const bool unusable = context_.customer != nullptr ? !context_.customer->usable
+                                                       : has_key && context_.table->configuration().has_unknown_keys;
+    if (unusable) {
+        return tl::unexpected{refusal{503, "configuration_invalid", invalid_configuration_retry_after}};
+    }
     if (context_.customer != nullptr) {
         return {};
     }
--- a/libraries/proxy/store_watch.cpp
+++ b/libraries/proxy/store_watch.cpp
@@ -175,7 +175,8 @@
 void store_watch::apply_reading(const configuration_reading& reading, bool complete)
 {
     if (reading.configuration) {
-        newest_ = hooks_.apply(*reading.configuration) ? newest_version::in_force : newest_version::not_applicable;
+        hooks_.apply(*reading.configuration);
+        newest_ = newest_version::in_force;
     }
     else if (reading.unreadable) {
         newest_ = newest_version::not_applicable;
--- a/libraries/proxy/store_watch.h
+++ b/libraries/proxy/store_watch.h
@@ -43,9 +43,8 @@
 class store_watch : public std::enable_shared_from_this<store_watch> {
 public:
     struct hooks {
-        /// Applies a version that was read. Returns whether that version or a newer one is in force now; if not, the
-        /// version in force is no longer confirmed.
-        std::function<bool(traffic_configuration)> apply;
+        /// Applies a version that was read, unless that version or a newer one is in force.
+        std::function<void(traffic_configuration)> apply;
         /// The version in force; 0 before the first.
         std::function<kernel::version_number()> version;
         /// Whether this host is the store reader of its data centre.
--- a/libraries/proxy/traffic_configuration.h
+++ b/libraries/proxy/traffic_configuration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kernel/failure.h"
 #include "kernel/identifiers.h"
 #include "libraries/configuration/objects.h"
 
@@ -40,6 +41,9 @@
     int priority = 0;
     /// Maximum number of upstreams to which one request may be sent.
     unsigned maximum_attempts = 1;
+    /// Whether the definition is valid. Requests that match an unusable route are refused as not run, because no other
+    /// route may take them.
+    bool usable = true;
 };
 
 struct traffic_customer {
@@ -51,6 +55,8 @@
     double rate_per_second = 0;
     /// Size of the token bucket, in requests.
     double burst = 0;
+    /// Whether the definition is valid. Requests with a key of an unusable customer are refused as not run.
+    bool usable = true;
 };
 
 struct traffic_service {
@@ -69,12 +75,23 @@
 };
 
 /// One version of the configuration that operators publish.
+///
+/// An invalid object of a version affects only the requests that need it, so that a fault in one object does not delay
+/// the rest of the version, such as the revocation of a key.
 struct traffic_configuration {
     kernel::version_number version;
     caller_limits limits;
     std::vector<traffic_customer> customers;
     std::vector<traffic_route> routes;
     std::vector<traffic_service> services;
+    /// Routes that are not open need a key, even if no customer is listed.
+    bool requires_keys = false;
+    /// The host name or path prefix of a route is invalid, so a request without a route may belong to that one.
+    bool has_unknown_routes = false;
+    /// Keys of a customer are invalid, so an unknown key may be one of them.
+    bool has_unknown_keys = false;
+    /// What is invalid; the subjects name the objects.
+    std::vector<kernel::failure> faults;
 };
 
 } // namespace wisterialane::proxy
--- a/tests/proxy/test_platform_formats.cpp
+++ b/tests/proxy/test_platform_formats.cpp
@@ -61,6 +61,105 @@
     CHECK(configuration->routes[0].services[1].weight == 0.1);
 }
 
+// Guards against a version that is refused as a whole because of one object: the keys that it revokes were served on.
+TEST_CASE("read_configuration_document: invalid object: it is unusable and named, the others are read")
+{
+    const auto read_with = [](const char* pointer, const nlohmann::json& value) {
+        auto changed = nlohmann::json::parse(document);
+        changed[nlohmann::json::json_pointer{pointer}] = value;
+        return read_configuration_document(changed.dump());
+    };
+    const std::string route = "/listeners/0/policy/0";
+    for (const auto& [field, value] :
+         std::vector<std::pair<std::string, nlohmann::json>>{{"/action/weighted_backends/0/weight", -3},
+                                                             {"/action/weighted_backends/0/weight", "90"},
+                                                             {"/action/weighted_backends/0/weight", nullptr},
+                                                             {"/action/weighted_backends/0/service", 7},
+                                                             {"/action/weighted_backends", "s1"},
+                                                             {"/action/timeout", 2000},
+                                                             {"/action/timeout", "1e13ms"},
+                                                             {"/action", "s1"},
+                                                             {"/public", "no"},
+                                                             {"/route_kind", 1}}) {
+        CAPTURE(field);
+        const auto configuration = read_with((route + field).c_str(), value);
+        REQUIRE(configuration);
+        CHECK(configuration->faults.size() == 1);
+        CHECK_FALSE(configuration->routes[0].usable);
+        CHECK(configuration->routes[0].path_prefix == "/lepu/");
+        CHECK(configuration->routes[1].usable);
+        CHECK_FALSE(configuration->has_unknown_routes);
+        CHECK(configuration->customers[0].usable);
+    }
+    for (const auto* unknown : {"/listeners/0/policy/0/match/prefix", "/listeners/0/host", "/listeners/0/policy"}) {
+        CAPTURE(unknown);
+        const auto configuration = read_with(unknown, 7);
+        REQUIRE(configuration);
+        CHECK(configuration->has_unknown_routes);
+        CHECK(configuration->customers[0].keys.size() == 2);
+    }
+    for (const auto& [field, value] : std::vector<std::pair<std::string, nlohmann::json>>{{"/name", ""},
+                                                                                          {"/name", "a\r\nX-Other: b"},
+                                                                                          {"/name", 5},
+                                                                                          {"/rate_per_s", -1},
+                                                                                          {"/rate_per_s", "36"},
+                                                                                          {"/burst", -0.5}}) {
+        CAPTURE(field);
+        const auto configuration = read_with(("/tenants/0" + field).c_str(), value);
+        REQUIRE(configuration);
+        CHECK(configuration->faults.size() == 1);
+        CHECK_FALSE(configuration->customers[0].usable);
+        CHECK(configuration->customers[0].keys.size() == 2);
+        CHECK(configuration->routes[0].usable);
+    }
+}
+
+// Guards against an unknown key that is refused for good although the version may hold it, and against routes that are
+// open to everybody because the list of customers cannot be read.
+TEST_CASE("read_configuration_document: keys cannot be read: keys are needed, and unknown ones may be valid")
+{
+    for (const auto& [pointer, value] : std::vector<std::pair<const char*, nlohmann::json>>{
+             {"/tenants", nullptr}, {"/tenants", 3}, {"/tenants/0/api_keys", "k1"}, {"/tenants/0/api_keys/1", 2}}) {
+        CAPTURE(pointer);
+        auto changed = nlohmann::json::parse(document);
+        changed[nlohmann::json::json_pointer{pointer}] = value;
+        const auto configuration = read_configuration_document(changed.dump());
+        REQUIRE(configuration);
+        CHECK(configuration->requires_keys);
+        CHECK(configuration->has_unknown_keys);
+        CHECK(configuration->routes[0].usable);
+    }
+}
+
+// Guards against numbers that wrap around or are truncated, such as attempts of -1 that became 4294967295.
+TEST_CASE("read_configuration_document: number out of range: counts as the nearest one, and is named")
+{
+    const auto attempts_of = [](const nlohmann::json& value) {
+        auto changed = nlohmann::json::parse(document);
+        changed["listeners"][0]["policy"][0]["action"]["attempts"] = value;
+        return read_configuration_document(changed.dump())->routes[0].maximum_attempts;
+    };
+    CHECK(attempts_of(3) == 3);
+    CHECK(attempts_of(3.0) == 3);
+    CHECK(attempts_of(-1) == 1);
+    CHECK(attempts_of(0) == 1);
+    CHECK(attempts_of(2.5) == 1);
+    CHECK(attempts_of("2") == 1);
+    CHECK(attempts_of(4294967298) == 1'000'000'000);
+    const auto with_limit = [](const char* field, const nlohmann::json& value) {
+        auto changed = nlohmann::json::parse(document);
+        changed["limits"][field] = value;
+        return *read_configuration_document(changed.dump());
+    };
+    const proxy::caller_limits defaults;
+    CHECK(with_limit("max_header_bytes", -1).limits.maximum_header_bytes == defaults.maximum_header_bytes);
+    CHECK(with_limit("max_header_bytes", 4294967297).limits.maximum_header_bytes == defaults.maximum_header_bytes);
+    CHECK(with_limit("max_body_bytes", -1).limits.maximum_body_bytes == defaults.maximum_body_bytes);
+    CHECK(with_limit("max_body_bytes", 0).limits.maximum_body_bytes == 0);
+    CHECK(with_limit("idle_timeout", "soon").limits.idle_timeout == defaults.idle_timeout);
+    CHECK(with_limit("idle_timeout", "soon").faults.size() == 1);
+}
+
 TEST_CASE("read_configuration_document: truncated or ill-typed: fails")
 {
     const std::string text{document};
@@ -139,6 +238,8 @@
     CHECK_FALSE(parse_duration("2.5"));
     CHECK_FALSE(parse_duration("soon"));
     CHECK_FALSE(parse_duration("-1s"));
+    CHECK(parse_duration("1e9s"));
+    CHECK_FALSE(parse_duration("1e10s"));
 }
 
 TEST_CASE("read_node_settings: missing or ill-typed field: fails and names it")
--- a/tests/proxy/test_proxy_host.cpp
+++ b/tests/proxy/test_proxy_host.cpp
@@ -222,6 +222,51 @@
     CHECK(call(get_request("r3"))->status == 401);
 }
 
+// Guards against a revoked key that is served on because the version that revokes it has an invalid object (review,
+// CONFIG), and against a request that another route takes instead.
+TEST_CASE_FIXTURE(host_fixture,
+                  "proxy_host: version revokes a key and has an invalid route: 401, and 503 on that route alone")
+{
+    auto& upstream = add_upstream("u1", respond_with("ok"));
+    start();
+    CHECK(call(get_request("r1"))->status == 200);
+    CHECK(call(post_request("r2", "x"))->status == 200);
+    store.configuration->version = kernel::version_number{2};
+    store.configuration->customers[0].keys = {"key-two"};
+    auto& split = store.configuration->routes[1];
+    split.services = {{kernel::service_name{"archive"}, 0}, {kernel::service_name{"nowhere"}, 0}};
+    auto general = split;
+    general.path_prefix = "/";
+    general.services = {{kernel::service_name{"archive"}, 1}};
+    store.configuration->routes.push_back(general);
+    run_until([this] { return host->environment().routing->version() == kernel::version_number{2}; });
+    CHECK(call(get_request("r3"))->status == 401);
+    const auto with_new_key = [](std::string request) {
+        return request.replace(request.find("key-one"), 7, "key-two");
+    };
+    CHECK(call(with_new_key(get_request("r4")))->status == 200);
+    const auto refused = call(with_new_key(post_request("r5", "x")));
+    CHECK(refused->status == 503);
+    CHECK(refused->headers.count("Retry-After") == 1);
+    CHECK(upstream.received.size() == 3);
+}
+
+// Guards against a definitive refusal of what the version may allow.
+TEST_CASE_FIXTURE(host_fixture,
+                  "proxy_host: version with keys and prefixes that cannot be read: 503 where they may match")
+{
+    add_upstream("u1", respond_with("ok"));
+    store.configuration->has_unknown_routes = true;
+    store.configuration->has_unknown_keys = true;
+    start();
+    const std::string unknown_route = "GET /nowhere/ HTTP/1.1\r\nHost: gateway.example\r\nX-Request: a\r\n";
+    const std::string known_route = "GET /read/x HTTP/1.1\r\nHost: gateway.example\r\nX-Request: a\r\n";
+    CHECK(call(unknown_route + "\r\n")->status == 503);
+    CHECK(call(known_route + "X-Key: other\r\n\r\n")->status == 503);
+    CHECK(call(known_route + "\r\n")->status == 401);
+    CHECK(call(get_request("r1"))->status == 200);
+}
+
 // Guards against requests that are cut off by a planned stop.
 TEST_CASE_FIXTURE(host_fixture, "proxy_host: stop requested: not ready at once, active and new requests are served")
 {
