Peer messages: Values are checked, and an error of one handler ends one request

Cause: texts of a datagram were kept unchecked, the JSON of the response with addresses could not hold them, and nothing between a handler and the event loop caught the exception. Numbers were read with get<int>, which truncates. Change: texts are printable UTF-8 of 200 bytes at most, addresses are endpoints, numbers have ranges. An unexpected error of a handler ends its request with 502, is logged and counted; the loop goes on. The older tests of the decoder build their messages with a valid sender now, as hosts do; their checks stay.

--- a/libraries/proxy/peer_message.cpp
+++ b/libraries/proxy/peer_message.cpp
@@ -1,20 +1,98 @@
 #include "libraries/proxy/peer_message.h"
 
+#include "libraries/proxy/network.h"
 #include "libraries/proxy/proxy_events.h"
 
 #include <limits>
 #include <stdexcept>
 
+#include <boost/locale/utf.hpp>
 #include <nlohmann/json.hpp>
 
 namespace wisterialane::proxy {
 namespace {
 
 /// Messages with another format version are rejected.
-constexpr int format_version = 1;
+constexpr std::uint64_t format_version = 1;
 constexpr double percent = 100;
 constexpr int full_level = 100;
 
+/// Longest name or address, in bytes.
+constexpr std::size_t maximum_text_bytes = 200;
+/// Greatest number of seconds, requests, slots and the like that a message can hold.
+constexpr std::int64_t maximum_count = std::numeric_limits<std::int64_t>::max() / 4;
+constexpr std::int64_t maximum_slots = 100'000;
+constexpr double maximum_processor_cores = 100'000;
+/// Longest time on the store's clock, in milliseconds; sums of a few such times fit into the clock's type.
+constexpr std::int64_t maximum_store_time_ms = 1'000'000'000'000;
+constexpr std::int64_t maximum_load_percent = 1'000'000'000;
+
+// Returns a value within a range, both ends included. Throws `std::invalid_argument` if it lies outside or is of another
+// kind.
+std::int64_t read_integer(const nlohmann::json& from, std::int64_t minimum, std::int64_t maximum)
+{
+    const bool too_large = from.is_number_unsigned() && from.get<std::uint64_t>() > static_cast<std::uint64_t>(maximum);
+    if (!from.is_number_integer() || too_large) {
+        throw std::invalid_argument{"no integer, or out of range"};
+    }
+    const auto value = from.get<std::int64_t>();
+    if (value < minimum || value > maximum) {
+        throw std::invalid_argument{"value out of range"};
+    }
+    return value;
+}
+
+double read_number(const nlohmann::json& from, double minimum, double maximum)
+{
+    const auto value = from.get<double>();
+    if (!(value >= minimum && value <= maximum)) {
+        throw std::invalid_argument{"value out of range"};
+    }
+    return value;
+}
+
+std::uint64_t read_count(const nlohmann::json& from)
+{
+    return static_cast<std::uint64_t>(read_integer(from, 0, maximum_count));
+}
+
+// Whether the text is valid UTF-8 without control characters. Names and addresses are logged and sent on as JSON.
+bool is_printable(const std::string& text)
+{
+    namespace utf = boost::locale::utf;
+    constexpr utf::code_point first_printable = 0x20;
+    constexpr utf::code_point deleted = 0x7f;
+    for (auto position = text.begin(); position != text.end();) {
+        const auto character = utf::utf_traits<char>::decode(position, text.end());
+        if (!utf::is_valid_codepoint(character) || character < first_printable || character == deleted) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::string check_text(std::string text)
+{
+    if (text.size() > maximum_text_bytes || !is_printable(text)) {
+        throw std::invalid_argument{"invalid text"};
+    }
+    return text;
+}
+
+std::string read_text(const nlohmann::json& from)
+{
+    return check_text(from.get<std::string>());
+}
+
+kernel::socket_address read_address(const nlohmann::json& from)
+{
+    kernel::socket_address address{read_text(from)};
+    if (!parse_endpoint(address)) {
+        throw std::invalid_argument{"invalid address"};
+    }
+    return address;
+}
+
 nlohmann::json write_upstream(const upstream_record& record)
 {
     return {record.id.value(),
@@ -30,14 +108,14 @@
 upstream_record read_upstream(const nlohmann::json& from)
 {
     upstream_record record;
-    record.id = kernel::upstream_name{from.at(0).get<std::string>()};
-    record.service = kernel::service_name{from.at(1).get<std::string>()};
-    record.address = kernel::socket_address{from.at(2).get<std::string>()};
-    record.data_centre = kernel::data_centre_name{from.at(3).get<std::string>()};
-    record.slots = from.at(4).get<unsigned>();
+    record.id = kernel::upstream_name{read_text(from.at(0))};
+    record.service = kernel::service_name{read_text(from.at(1))};
+    record.address = read_address(from.at(2));
+    record.data_centre = kernel::data_centre_name{read_text(from.at(3))};
+    record.slots = static_cast<unsigned>(read_integer(from.at(4), 1, maximum_slots));
     record.phase = from.at(5).get<bool>() ? upstream_phase::draining : upstream_phase::ready;
-    record.remaining_warm_up = std::chrono::milliseconds{from.at(6).get<std::int64_t>()};
-    record.started_at_ms = from.at(7).get<std::int64_t>();
+    record.remaining_warm_up = std::chrono::milliseconds{read_integer(from.at(6), 0, maximum_store_time_ms)};
+    record.started_at_ms = read_integer(from.at(7), 0, std::numeric_limits<std::int64_t>::max());
     return record;
 }
 
@@ -59,15 +137,15 @@
 store_relay read_relay(const nlohmann::json& from)
 {
     store_relay relay;
-    relay.version = kernel::version_number{from.at("version").get<std::uint64_t>()};
-    relay.confirmed_at = store_time{from.at("confirmed").get<std::int64_t>()};
-    relay.after = store_revision{from.at("after").get<std::uint64_t>()};
-    relay.up_to = store_revision{from.at("up_to").get<std::uint64_t>()};
+    relay.version = kernel::version_number{read_count(from.at("version"))};
+    relay.confirmed_at = store_time{read_integer(from.at("confirmed"), 0, maximum_store_time_ms)};
+    relay.after = store_revision{read_count(from.at("after"))};
+    relay.up_to = store_revision{read_count(from.at("up_to"))};
     for (const auto& upstream : from.at("present")) {
         relay.present.push_back(read_upstream(upstream));
     }
     for (const auto& id : from.at("removed")) {
-        relay.removed.emplace_back(id.get<std::string>());
+        relay.removed.emplace_back(read_text(id));
     }
     return relay;
 }
@@ -85,27 +163,15 @@
 {
     service_counts results;
     for (const auto& [service, counts] : from.items()) {
-        auto& result = results[kernel::service_name{service}];
-        result.served = counts.at(0).get<std::uint64_t>();
-        result.unserved = counts.at(1).get<std::uint64_t>();
+        auto& result = results[kernel::service_name{check_text(service)}];
+        result.served = read_count(counts.at(0));
+        result.unserved = read_count(counts.at(1));
         // Hosts of an earlier release do not report the demand.
-        result.demand_ms = counts.size() > 2 ? counts.at(2).get<std::uint64_t>() : 0;
+        result.demand_ms = counts.size() > 2 ? read_count(counts.at(2)) : 0;
     }
     return results;
 }
 
-// Returns a value within a range, both ends included. Throws `std::invalid_argument` if it lies outside or is no
-// number.
-template <class Number>
-Number read_in_range(const nlohmann::json& from, Number minimum, Number maximum)
-{
-    const auto value = from.get<Number>();
-    if (!(value >= minimum && value <= maximum)) {
-        throw std::invalid_argument{"value out of range"};
-    }
-    return value;
-}
-
 nlohmann::json write_notice(const upstream_notice& notice)
 {
     nlohmann::json document{{"started", notice.started_at_ms}, {"leaving", notice.leaving}};
@@ -118,10 +184,10 @@
 upstream_notice read_notice(const nlohmann::json& from)
 {
     upstream_notice notice;
-    notice.started_at_ms = from.at("started").get<std::int64_t>();
+    notice.started_at_ms = read_integer(from.at("started"), 0, std::numeric_limits<std::int64_t>::max());
     notice.leaving = from.at("leaving").get<bool>();
     if (const auto rate = from.find("rate"); rate != from.end()) {
-        notice.rate_limit = read_in_range(*rate, 0.0, std::numeric_limits<double>::max());
+        notice.rate_limit = read_number(*rate, 0, std::numeric_limits<double>::max());
     }
     return notice;
 }
@@ -135,13 +201,21 @@
     return document;
 }
 
+std::uint64_t read_fingerprint(const nlohmann::json& from)
+{
+    if (!from.is_number_unsigned()) {
+        throw std::invalid_argument{"invalid fingerprint"};
+    }
+    return from.get<std::uint64_t>();
+}
+
 shared_evidence read_evidence(const nlohmann::json& from)
 {
     shared_evidence evidence;
-    evidence.upstream = kernel::upstream_name{from.at(0).get<std::string>()};
+    evidence.upstream = kernel::upstream_name{read_text(from.at(0))};
     constexpr int last_outcome = static_cast<int>(exchange_outcome::neutral);
-    evidence.outcome = static_cast<exchange_outcome>(read_in_range(from.at(1), 0, last_outcome));
-    evidence.fingerprint = from.at(2).get<std::uint64_t>();
+    evidence.outcome = static_cast<exchange_outcome>(read_integer(from.at(1), 0, last_outcome));
+    evidence.fingerprint = read_fingerprint(from.at(2));
     // Hosts of an earlier release report no notices.
     if (from.size() > 3) {
         evidence.notice = read_notice(from.at(3));
@@ -152,15 +226,15 @@
 peer_message read_message(const nlohmann::json& document)
 {
     peer_message message;
-    message.sender.host = kernel::host_name{document.at("host").get<std::string>()};
-    message.sender.data_centre = kernel::data_centre_name{document.at("dc").get<std::string>()};
-    message.sender.caller_address = kernel::socket_address{document.at("caller").get<std::string>()};
-    message.sender.peer_address = kernel::socket_address{document.at("peer").get<std::string>()};
-    message.sender.processor_cores = document.at("cores").get<double>();
-    message.state.instance = kernel::instance_id{document.at("run").get<std::string>()};
+    message.sender.host = kernel::host_name{read_text(document.at("host"))};
+    message.sender.data_centre = kernel::data_centre_name{read_text(document.at("dc"))};
+    message.sender.caller_address = read_address(document.at("caller"));
+    message.sender.peer_address = read_address(document.at("peer"));
+    message.sender.processor_cores = read_number(document.at("cores"), 0, maximum_processor_cores);
+    message.state.instance = kernel::instance_id{read_text(document.at("run"))};
     message.state.ready = document.at("ready").get<bool>();
     message.state.reaches_store = document.at("store").get<bool>();
-    message.state.load = document.at("load").get<int>() / percent;
+    message.state.load = static_cast<double>(read_integer(document.at("load"), 0, maximum_load_percent)) / percent;
     if (const auto relay = document.find("relay"); relay != document.end()) {
         message.relay = read_relay(*relay);
     }
@@ -170,11 +244,12 @@
     if (const auto levels = document.find("levels"); levels != document.end()) {
         message.levels.emplace();
         for (const auto& [customer, level] : levels->items()) {
-            (*message.levels)[kernel::customer_name{customer}] = read_in_range(level, 0, full_level) / percent;
+            (*message.levels)[kernel::customer_name{check_text(customer)}] =
+                static_cast<double>(read_integer(level, 0, full_level)) / percent;
         }
     }
     for (const auto& [customer, count] : document.at("admitted").items()) {
-        message.state.admitted[kernel::customer_name{customer}] = count.get<std::uint64_t>();
+        message.state.admitted[kernel::customer_name{check_text(customer)}] = read_count(count);
     }
     for (const auto& observation : document.at("evidence")) {
         message.evidence.push_back(read_evidence(observation));
@@ -227,7 +302,7 @@
 {
     try {
         const auto document = nlohmann::json::from_cbor(bytes);
-        if (document.at("v").get<int>() != format_version) {
+        if (read_count(document.at("v")) != format_version) {
             return kernel::fail(proxy_event::peer_message_unreadable, "unsupported format version");
         }
         return read_message(document);
--- a/libraries/proxy/proxy_events.cpp
+++ b/libraries/proxy/proxy_events.cpp
@@ -15,6 +15,7 @@
     std::pair{proxy_event::settings_reloaded, std::string_view{"settings_reloaded"}},
     std::pair{proxy_event::requests_given_up, std::string_view{"requests_given_up"}},
     std::pair{proxy_event::settings_kept, std::string_view{"settings_kept"}},
+    std::pair{proxy_event::handler_failed, std::string_view{"handler_failed"}},
     std::pair{proxy_event::invalid_limit, std::string_view{"invalid_limit"}},
     std::pair{proxy_event::key_held_twice, std::string_view{"key_held_twice"}},
     std::pair{proxy_event::invalid_prefix, std::string_view{"invalid_prefix"}},
--- a/libraries/proxy/proxy_events.h
+++ b/libraries/proxy/proxy_events.h
@@ -12,6 +12,7 @@
     stopped = 11003,
     settings_reloaded = 11004,
     settings_kept = 11005,
+    handler_failed = 11007,
     requests_given_up = 11006,
     invalid_limit = 11010,
     key_held_twice = 11011,
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -135,7 +135,7 @@
                                         void (proxy_host::*handler)(const std::shared_ptr<caller_exchange>&))
 {
     auto hooks = std::make_shared<session_hooks>();
-    hooks->handle_request = [this, handler](const auto& exchange) { (this->*handler)(exchange); };
+    hooks->handle_request = [this, handler](const auto& exchange) { handle_safely(exchange, handler); };
     hooks->limits = [this] {
         return environment_.routing ? environment_.routing->configuration().limits : caller_limits{};
     };
@@ -190,6 +190,22 @@
     });
 }
 
+// An unexpected error ends its own request, with a status that leaves open whether it has run.
+void proxy_host::handle_safely(const std::shared_ptr<caller_exchange>& exchange,
+                               void (proxy_host::*handler)(const std::shared_ptr<caller_exchange>&))
+{
+    try {
+        (this->*handler)(exchange);
+    }
+    catch (const std::exception& error) {
+        environment_.metrics.record_handler_failure();
+        environment_.log.write(environment_.clock(), line_priority::important, proxy_event::handler_failed,
+                               {{"request", std::string{to_view(exchange->request()[settings_.names.request_id])}},
+                                {"detail", error.what()}});
+        exchange->respond({502, {}, {}, false});
+    }
+}
+
 void proxy_host::handle_request(const std::shared_ptr<caller_exchange>& exchange)
 {
     environment_.received_requests.add(environment_.clock());
--- a/libraries/proxy/proxy_host.h
+++ b/libraries/proxy/proxy_host.h
@@ -69,6 +69,8 @@
     [[nodiscard]] request_environment& environment() { return environment_; }
 
 private:
+    void handle_safely(const std::shared_ptr<caller_exchange>& exchange,
+                       void (proxy_host::*handler)(const std::shared_ptr<caller_exchange>&));
     void handle_request(const std::shared_ptr<caller_exchange>& exchange);
     void refuse_for_memory(const std::shared_ptr<caller_exchange>& exchange);
     void handle_readiness_request(const std::shared_ptr<caller_exchange>& exchange);
--- a/libraries/proxy/proxy_metrics.cpp
+++ b/libraries/proxy/proxy_metrics.cpp
@@ -77,6 +77,11 @@
                                    .Help("Memory that requests and responses may use")
                                    .Register(*registry_)
                                    .Add({})},
+      handler_failures_{prometheus::BuildCounter()
+                            .Name("wisterialane_handler_failures_total")
+                            .Help("Unexpected errors of handlers")
+                            .Register(*registry_)
+                            .Add({})},
       dropped_log_lines_{prometheus::BuildGauge()
                              .Name("wisterialane_log_lines_left_out")
                              .Help("Log lines left out since the start")
@@ -107,6 +112,11 @@
     attempts_.Add({{"outcome", std::string{outcome}}}).Increment();
 }
 
+void proxy_metrics::record_handler_failure()
+{
+    handler_failures_.Increment();
+}
+
 void proxy_metrics::record_store_call(std::string_view outcome)
 {
     store_calls_.Add({{"outcome", std::string{outcome}}}).Increment();
--- a/libraries/proxy/proxy_metrics.h
+++ b/libraries/proxy/proxy_metrics.h
@@ -26,6 +26,8 @@
     void record_request(const kernel::customer_name& customer, std::string_view outcome, kernel::duration elapsed);
 
     void record_attempt(std::string_view outcome);
+    /// Records an unexpected error of a handler of the event loop.
+    void record_handler_failure();
     void record_store_call(std::string_view outcome);
     void record_queue_time(kernel::duration waited);
     /// Records the time that a pipelined request waited for earlier ones of its connection.
@@ -57,6 +59,7 @@
     prometheus::Gauge& configuration_not_applicable_;
     prometheus::Gauge& message_memory_;
     prometheus::Gauge& message_memory_capacity_;
+    prometheus::Counter& handler_failures_;
     prometheus::Gauge& dropped_log_lines_;
     std::map<kernel::customer_name, prometheus::Histogram*> customer_histograms_;
 };
--- a/tests/proxy/test_platform_formats.cpp
+++ b/tests/proxy/test_platform_formats.cpp
@@ -1,3 +1,4 @@
+#include "libraries/proxy/network.h"
 #include "libraries/proxy/peer_message.h"
 #include "libraries/proxy/proxy_events.h"
 #include "platform/configuration_document.h"
@@ -6,6 +7,7 @@
 #include "platform/upstream_entry.h"
 #include "tests/proxy/proxy_fixture.h"
 
+#include <cmath>
 #include <limits>
 #include <string>
 
@@ -253,12 +255,21 @@
 } // namespace wisterialane::platform_adapter
 
 namespace wisterialane::proxy {
+namespace {
 
-TEST_CASE("peer_message: encoded and decoded: is the same")
+peer_message make_message()
 {
     peer_message message;
     message.sender = {kernel::host_name{"h1"}, kernel::data_centre_name{"z"}, kernel::socket_address{"10.0.0.1:1"},
                       kernel::socket_address{"10.0.0.1:2"}};
+    return message;
+}
+
+} // namespace
+
+TEST_CASE("peer_message: encoded and decoded: is the same")
+{
+    auto message = make_message();
     message.state = {kernel::instance_id{"run"}, true, true, 0.25, {{kernel::customer_name{"c"}, 7}}};
     message.evidence = {{kernel::upstream_name{"u"}, exchange_outcome::broken, 17, upstream_notice{5, true, 2.5}}};
     message.relay = store_relay{kernel::version_number{4},
@@ -291,7 +302,7 @@
 // Guards against messages of an earlier release that are dropped during an upgrade.
 TEST_CASE("decode_peer_message: results without demand: are read with a demand of zero")
 {
-    peer_message message;
+    auto message = make_message();
     message.results = service_counts{{kernel::service_name{"archive"}, {5, 2, 900}}};
     auto document = nlohmann::json::from_cbor(encode(message));
     document["results"]["archive"] = {5, 2};
@@ -306,7 +317,8 @@
 {
     CHECK_FALSE(decode_peer_message(""));
     CHECK_FALSE(decode_peer_message("hello"));
-    const auto bytes = encode({});
+    const auto bytes = encode(make_message());
+    REQUIRE(decode_peer_message(bytes));
     for (std::size_t length = 0; length < bytes.size(); ++length) {
         CHECK_FALSE(decode_peer_message(std::string_view{bytes}.substr(0, length)));
     }
@@ -315,7 +327,7 @@
 // Guards against a damaged datagram that is taken for evidence, a limit or a fill level of another kind.
 TEST_CASE("decode_peer_message: values out of range: are rejected")
 {
-    peer_message message;
+    auto message = make_message();
     message.evidence = {{kernel::upstream_name{"u"}, exchange_outcome::broken, 17, upstream_notice{5, false, 2.5}}};
     message.levels = quota_levels{{kernel::customer_name{"c"}, 0.25}};
     const auto document = nlohmann::json::from_cbor(encode(message));
@@ -337,4 +349,69 @@
     CHECK_FALSE(decode_with("/levels/c", -1));
 }
 
+// Guards against a damaged datagram that ends the process (review, LOST: invalid UTF-8 in an address, which the next
+// response with addresses could not hold), or that stays in the tables as a host without a usable address.
+TEST_CASE("decode_peer_message: one byte of any value changed: texts stay printable, addresses and numbers usable")
+{
+    auto message = make_message();
+    message.state.admitted = {{kernel::customer_name{"c"}, 7}};
+    message.evidence = {{kernel::upstream_name{"u"}, exchange_outcome::broken, 17, upstream_notice{5, true, 2.5}}};
+    message.relay = store_relay{kernel::version_number{4}, store_time{77}, store_revision{1}, store_revision{2},
+                                {make_upstream("a", "z", 3)}, {}};
+    message.results = service_counts{{kernel::service_name{"archive"}, {5, 2, 900}}};
+    const auto bytes = encode(message);
+    int accepted = 0;
+    for (std::size_t position = 0; position < bytes.size(); ++position) {
+        for (int value = 0; value < 256; ++value) {
+            auto changed = bytes;
+            changed[position] = static_cast<char>(value);
+            const auto decoded = decode_peer_message(changed);
+            if (!decoded) {
+                continue;
+            }
+            ++accepted;
+            const auto& sender = decoded->sender;
+            CHECK(parse_endpoint(sender.caller_address));
+            CHECK(parse_endpoint(sender.peer_address));
+            CHECK_NOTHROW(nlohmann::json({sender.host.value(), sender.data_centre.value()}).dump());
+            CHECK(std::isfinite(sender.processor_cores));
+            if (decoded->relay) {
+                for (const auto& record : decoded->relay->present) {
+                    CHECK(parse_endpoint(record.address));
+                    CHECK(record.slots > 0);
+                }
+            }
+        }
+    }
+    CHECK(accepted > 0);
+}
+
+TEST_CASE("decode_peer_message: text that is too long, empty or not printable where it must be: is rejected")
+{
+    const auto document = nlohmann::json::from_cbor(encode(make_message()));
+    const auto decode_with = [&document](const char* field, const nlohmann::json& value) {
+        auto changed = document;
+        changed[field] = value;
+        std::string bytes;
+        nlohmann::json::to_cbor(changed, bytes);
+        return decode_peer_message(bytes);
+    };
+    CHECK(decode_with("host", "h\u00e9"));
+    for (const auto& text : {std::string{"\x93"}, std::string{"a\nb"}, std::string{"\xc3"}, std::string{"\xed\xa0\x80"},
+                             std::string(201, 'x'), std::string{"a\0b", 3}}) {
+        CHECK_FALSE(decode_with("host", text));
+        CHECK_FALSE(decode_with("dc", text));
+        CHECK_FALSE(decode_with("run", text));
+    }
+    for (const auto* address : {"", "10.0.0.1", "10.0.0.1:99999", "name:80", "\x93.0.0.1:80"}) {
+        CHECK_FALSE(decode_with("caller", address));
+        CHECK_FALSE(decode_with("peer", address));
+    }
+    for (const auto& cores : {nlohmann::json(-1), nlohmann::json(1e300), nlohmann::json("1")}) {
+        CHECK_FALSE(decode_with("cores", cores));
+    }
+    CHECK_FALSE(decode_with("load", -1));
+    CHECK_FALSE(decode_with("v", 4294967297));
+}
+
 } // namespace wisterialane::proxy
--- a/tests/proxy/test_proxy_host.cpp
+++ b/tests/proxy/test_proxy_host.cpp
@@ -356,6 +356,19 @@
     CHECK(call(post_request("r3", "the same body"))->status == 503);
 }
 
+// Guards against an unexpected error that ends the process, and with it the requests of all others.
+TEST_CASE_FIXTURE(host_fixture, "proxy_host: handler fails unexpectedly: its caller gets 502, the host goes on")
+{
+    add_upstream("u1", respond_with("ok"));
+    settings.render_addresses = [](const auto&, auto) -> std::string { throw std::runtime_error{"unexpected"}; };
+    start();
+    const auto failed = std::make_shared<scripted_caller>(context);
+    failed->send(settings.addresses_endpoint, "GET /addresses HTTP/1.1\r\nHost: a\r\n\r\n");
+    run_until([&failed] { return failed->done; });
+    CHECK(failed->status == 502);
+    CHECK(call(get_request("r1"))->status == 200);
+}
+
 // Guards against an upstream that exhausts memory and connections with an endless response.
 TEST_CASE_FIXTURE(host_fixture,
                   "proxy_host: upstream sends an endless response: reads a bounded number of bytes, then 502")
--- a/utilities/wisterialane/edge_command.cpp
+++ b/utilities/wisterialane/edge_command.cpp
@@ -144,6 +144,24 @@
     std::optional<std::string> content_;
 };
 
+// Runs the event loop until it is stopped. An unexpected error of one handler must not end the requests of all others,
+// so it is logged and the loop goes on.
+void run_handlers(proxy::io_context& context, proxy::proxy_host& host)
+{
+    while (true) {
+        try {
+            context.run();
+            return;
+        }
+        catch (const std::exception& error) {
+            auto& environment = host.environment();
+            environment.metrics.record_handler_failure();
+            environment.log.write(environment.clock(), line_priority::important, proxy_event::handler_failed,
+                                  {{"detail", error.what()}});
+        }
+    }
+}
+
 int run(const edge_options& options, const proxy::proxy_settings& settings)
 {
     // With fixed thresholds, the memory of large messages goes back to the system when they have been sent.
@@ -165,7 +183,7 @@
         report_error(started.error());
         return exit_address_in_use;
     }
-    context.run();
+    run_handlers(context, host);
     return 0;
 }
 
