--- a/libraries/proxy/memory_budget.h
+++ b/libraries/proxy/memory_budget.h
@@ -84,6 +84,7 @@
 
     memory_budget(const memory_budget&) = delete;
     memory_budget& operator=(const memory_budget&) = delete;
+    ~memory_budget() = default;
 
     void set_capacity(std::size_t bytes);
 
