--- a/tests/proxy/test_memory_limit.cpp
+++ b/tests/proxy/test_memory_limit.cpp
@@ -53,8 +53,10 @@
     store.upstreams[1].service = kernel::service_name{"claims"};
     store.configuration->routes[1].services = {{kernel::service_name{"claims"}, 1}};
     start();
+    constexpr int endless_count = 40;
     std::vector<std::shared_ptr<scripted_caller>> endless;
-    for (int index = 0; index < 40; ++index) {
+    endless.reserve(endless_count);
+    for (int index = 0; index < endless_count; ++index) {
         endless.push_back(send(get_request("e" + std::to_string(index))));
     }
     run_until([this] { return upstreams[0].received.size() >= 10; });
--- a/tests/proxy/test_platform_formats.cpp
+++ b/tests/proxy/test_platform_formats.cpp
@@ -72,7 +72,7 @@
         return read_configuration_document(changed.dump());
     };
     const std::string route = "/listeners/0/policy/0";
-    for (const auto& [field, value] :
+    for (const auto& change :
          std::vector<std::pair<std::string, nlohmann::json>>{{"/action/weighted_backends/0/weight", -3},
                                                              {"/action/weighted_backends/0/weight", "90"},
                                                              {"/action/weighted_backends/0/weight", nullptr},
@@ -83,8 +83,8 @@
                                                              {"/action", "s1"},
                                                              {"/public", "no"},
                                                              {"/route_kind", 1}}) {
-        CAPTURE(field);
-        const auto configuration = read_with((route + field).c_str(), value);
+        CAPTURE(change.first);
+        const auto configuration = read_with((route + change.first).c_str(), change.second);
         REQUIRE(configuration);
         CHECK(configuration->faults.size() == 1);
         CHECK_FALSE(configuration->routes[0].usable);
@@ -100,14 +100,14 @@
         CHECK(configuration->has_unknown_routes);
         CHECK(configuration->customers[0].keys.size() == 2);
     }
-    for (const auto& [field, value] : std::vector<std::pair<std::string, nlohmann::json>>{{"/name", ""},
-                                                                                          {"/name", "a\r\nX-Other: b"},
-                                                                                          {"/name", 5},
-                                                                                          {"/rate_per_s", -1},
-                                                                                          {"/rate_per_s", "36"},
-                                                                                          {"/burst", -0.5}}) {
-        CAPTURE(field);
-        const auto configuration = read_with(("/tenants/0" + field).c_str(), value);
+    for (const auto& change : std::vector<std::pair<std::string, nlohmann::json>>{{"/name", ""},
+                                                                                  {"/name", "a\r\nX-Other: b"},
+                                                                                  {"/name", 5},
+                                                                                  {"/rate_per_s", -1},
+                                                                                  {"/rate_per_s", "36"},
+                                                                                  {"/burst", -0.5}}) {
+        CAPTURE(change.first);
+        const auto configuration = read_with(("/tenants/0" + change.first).c_str(), change.second);
         REQUIRE(configuration);
         CHECK(configuration->faults.size() == 1);
         CHECK_FALSE(configuration->customers[0].usable);
@@ -120,11 +120,11 @@
 // open to everybody because the list of customers cannot be read.
 TEST_CASE("read_configuration_document: keys cannot be read: keys are needed, and unknown ones may be valid")
 {
-    for (const auto& [pointer, value] : std::vector<std::pair<const char*, nlohmann::json>>{
+    for (const auto& change : std::vector<std::pair<const char*, nlohmann::json>>{
              {"/tenants", nullptr}, {"/tenants", 3}, {"/tenants/0/api_keys", "k1"}, {"/tenants/0/api_keys/1", 2}}) {
-        CAPTURE(pointer);
+        CAPTURE(change.first);
         auto changed = nlohmann::json::parse(document);
-        changed[nlohmann::json::json_pointer{pointer}] = value;
+        changed[nlohmann::json::json_pointer{change.first}] = change.second;
         const auto configuration = read_configuration_document(changed.dump());
         REQUIRE(configuration);
         CHECK(configuration->requires_keys);
--- a/tests/proxy/test_traffic.cpp
+++ b/tests/proxy/test_traffic.cpp
@@ -139,19 +139,18 @@
         double share_of_second;
     };
 
-    for (const auto& [first, second, share_of_second] :
-         {split{0.9, 0.1, 0.1}, split{0.0004, 0.0001, 0.2}, split{2.5, 1, 1 / 3.5}, split{1e-320, 1e-320, 0.5},
-          split{1e308, 1e308, 0.5}, split{1, 0, 0}, split{0, 3, 1}}) {
-        CAPTURE(first);
+    for (const auto& weights : {split{0.9, 0.1, 0.1}, split{0.0004, 0.0001, 0.2}, split{2.5, 1, 1 / 3.5},
+                                split{1e-320, 1e-320, 0.5}, split{1e308, 1e308, 0.5}, split{1, 0, 0}, split{0, 3, 1}}) {
+        CAPTURE(weights.first);
         auto route = make_route("split", "/");
-        route.services = {{kernel::service_name{"old"}, first}, {kernel::service_name{"new"}, second}};
+        route.services = {{kernel::service_name{"old"}, weights.first}, {kernel::service_name{"new"}, weights.second}};
         weighted_selector selector{7};
         int count = 0;
         constexpr int requests = 7000;
         for (int request = 0; request < requests; ++request) {
             count += selector.next(route) == kernel::service_name{"new"} ? 1 : 0;
         }
-        CHECK(std::abs(count - share_of_second * requests) <= 1.5);
+        CHECK(std::abs(count - weights.share_of_second * requests) <= 1.5);
     }
 }
 
