Caller session, metrics: The log says which side closed a connection, and why

An operator could not tell why a connection was closed: caller_left stood for every end, also for those that the host decided, and no metric counted them. Now request_cut (11047) names the host's reason and the sends, connections_closed_total and requests_cut_total count by reason, configuration_applied names the idle time in force, and wisterialanectl explain knows the event. No decision changes.

--- a/libraries/proxy/caller_exchange.cpp
+++ b/libraries/proxy/caller_exchange.cpp
@@ -18,7 +18,7 @@
 
 void caller_exchange::abort()
 {
-    session_->abort();
+    session_->close(connection_end::aborted);
 }
 
 std::size_t caller_exchange::held_bytes() const
--- a/libraries/proxy/caller_exchange.h
+++ b/libraries/proxy/caller_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kernel/clock.h"
+#include "libraries/proxy/connection_end.h"
 #include "libraries/proxy/memory_budget.h"
 
 #include <cstddef>
@@ -47,8 +48,8 @@
     /// When the first byte of the request was received.
     [[nodiscard]] kernel::time_point received_at() const { return received_at_; }
 
-    /// Sets a function that is called once if the caller disconnects before the response.
-    void on_disconnect(std::function<void()> notify) { on_disconnect_ = std::move(notify); }
+    /// Sets a function that is called once if the connection is closed before the response, by either side.
+    void on_disconnect(std::function<void(connection_end)> notify) { on_disconnect_ = std::move(notify); }
 
     /// Sends the response as soon as those to all earlier requests of the connection have been sent. Without effect if
     /// the connection is closed.
@@ -68,7 +69,7 @@
     std::shared_ptr<caller_session> session_;
     http_request request_;
     kernel::time_point received_at_;
-    std::function<void()> on_disconnect_;
+    std::function<void(connection_end)> on_disconnect_;
     std::optional<caller_response> response_;
     /// The caller allows further requests on the connection.
     bool keep_alive_ = true;
--- a/libraries/proxy/caller_session.cpp
+++ b/libraries/proxy/caller_session.cpp
@@ -131,7 +131,7 @@
     const bool all_answered = std::all_of(exchanges_.begin(), exchanges_.end(),
                                           [](const auto& exchange) { return exchange->response_.has_value(); });
     if (exchanges_.empty() || !all_answered) {
-        abort();
+        close(lingering_ ? connection_end::response_sent : connection_end::caller_closed);
     }
 }
 
@@ -369,28 +369,28 @@
     }
     sending_ = true;
     record_wait(answered);
-    const bool close = closes_after(answered);
+    const bool is_last = closes_after(answered);
     const bool with_body = has_body(answered.response_->status, answered.request_.method());
-    outgoing_head_ = render_head(*answered.response_, with_body, close);
+    outgoing_head_ = render_head(*answered.response_, with_body, is_last);
     outgoing_body_ = with_body ? std::move(answered.response_->body) : std::string{};
     const std::array<boost::asio::const_buffer, 2> buffers{boost::asio::buffer(outgoing_head_),
                                                            boost::asio::buffer(outgoing_body_)};
     output_timer_.expires_after(write_timeout);
     output_timer_.async_wait([weak = weak_from_this()](error_code cancelled) {
         if (const auto self = weak.lock(); self && !cancelled) {
-            self->abort();
+            self->close(connection_end::response_timeout);
         }
     });
-    boost::asio::async_write(socket_, buffers, [self = shared_from_this(), close](error_code error, std::size_t) {
+    boost::asio::async_write(socket_, buffers, [self = shared_from_this(), is_last](error_code error, std::size_t) {
         self->sending_ = false;
         if (self->closed_) {
             return;
         }
         if (error) {
-            self->abort();
+            self->close(connection_end::caller_closed);
             return;
         }
-        self->on_response_sent(close);
+        self->on_response_sent(is_last);
     });
 }
 
@@ -411,16 +411,16 @@
     }
 }
 
-void caller_session::on_response_sent(bool close)
+void caller_session::on_response_sent(bool is_last)
 {
     output_timer_.cancel();
     exchanges_.pop_front();
-    if (close) {
+    if (is_last) {
         linger();
         return;
     }
     if (input_closed_ && exchanges_.empty()) {
-        abort();
+        close(connection_end::caller_closed);
         return;
     }
     parse();
@@ -453,13 +453,13 @@
         if (buffer_.size() == 0 && buffer_.capacity() > maximum_idle_buffer_bytes) {
             buffer_.shrink_to_fit();
         }
-        expire_input_after(hooks_->limits().idle_timeout);
+        expire_input_after(hooks_->limits().idle_timeout, connection_end::idle_timeout);
         break;
     case input_phase::head:
-        expire_input_after(hooks_->limits().header_timeout);
+        expire_input_after(hooks_->limits().header_timeout, connection_end::header_timeout);
         break;
     case input_phase::body:
-        expire_input_after(body_timeout);
+        expire_input_after(body_timeout, connection_end::body_timeout);
         break;
     case input_phase::exchange:
         input_timer_.cancel();
@@ -467,12 +467,12 @@
     }
 }
 
-void caller_session::expire_input_after(kernel::duration timeout)
+void caller_session::expire_input_after(kernel::duration timeout, connection_end reason)
 {
     input_timer_.expires_after(timeout);
-    input_timer_.async_wait([weak = weak_from_this()](error_code cancelled) {
+    input_timer_.async_wait([weak = weak_from_this(), reason](error_code cancelled) {
         if (const auto self = weak.lock(); self && !cancelled) {
-            self->abort();
+            self->close(reason);
         }
     });
 }
@@ -484,7 +484,7 @@
     end_input();
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    expire_input_after(linger_time);
+    expire_input_after(linger_time, connection_end::response_sent);
     await_input();
 }
 
@@ -495,16 +495,26 @@
     const auto discarded = std::min<std::uint64_t>(refused_body_bytes_, count);
     refused_body_bytes_ -= discarded;
     if (lingering_ && discarded > 0 && hooks_->clock() < discard_until_) {
-        expire_input_after(linger_time);
+        expire_input_after(linger_time, connection_end::response_sent);
     }
 }
 
-void caller_session::abort()
+// Those whose responses have begun to be sent count as well.
+std::size_t caller_session::unanswered_requests() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(exchanges_.begin(), exchanges_.end(), [](const auto& exchange) { return exchange->begun_; }));
+}
+
+void caller_session::close(connection_end reason)
 {
     if (closed_) {
         return;
     }
     closed_ = true;
+    if (hooks_->record_end) {
+        hooks_->record_end(reason, unanswered_requests());
+    }
     error_code ignored;
     input_timer_.cancel();
     output_timer_.cancel();
@@ -513,7 +523,7 @@
     exchanges_.clear();
     for (const auto& exchange : ended) {
         if (const auto notify = std::exchange(exchange->on_disconnect_, nullptr)) {
-            notify();
+            notify(reason);
         }
     }
 }
@@ -521,7 +531,7 @@
 void caller_session::close_if_idle()
 {
     if (exchanges_.empty() && !parser_ && buffer_.size() == 0 && !lingering_) {
-        abort();
+        close(connection_end::host_stopping);
     }
 }
 
--- a/libraries/proxy/caller_session.h
+++ b/libraries/proxy/caller_session.h
@@ -36,6 +36,8 @@
     std::shared_ptr<memory_budget> memory = nullptr;
     /// Called with the time that a pipelined request waited for earlier ones of its connection. Optional.
     std::function<void(kernel::duration)> record_pipeline_wait = nullptr;
+    /// Called when the connection is closed, with the number of requests that get no response. Optional.
+    std::function<void(connection_end, std::size_t cut_requests)> record_end = nullptr;
 };
 
 /// One connection of a caller: reads requests, passes them on, and sends the responses in the order of the requests.
@@ -54,8 +56,8 @@
 
     void start();
 
-    /// Closes the connection. Exchanges that are in progress end as if the caller had disconnected.
-    void abort();
+    /// Closes the connection. Exchanges that are in progress end without a response.
+    void close(connection_end reason);
 
     /// Closes the connection if no request has begun.
     void close_if_idle();
@@ -96,15 +98,16 @@
     void accept_response(caller_exchange& answered, caller_response response);
     void send_next_response();
     [[nodiscard]] bool closes_after(const caller_exchange& answered) const;
-    void on_response_sent(bool close);
+    void on_response_sent(bool is_last);
     void record_wait(const caller_exchange& answered) const;
     void send_continue();
 
     [[nodiscard]] input_phase current_phase() const;
     void set_input_timeout();
-    void expire_input_after(kernel::duration timeout);
+    void expire_input_after(kernel::duration timeout, connection_end reason);
     void linger();
     void discard(std::size_t count);
+    [[nodiscard]] std::size_t unanswered_requests() const;
 
     tcp_stream::socket_type socket_;
     timer input_timer_;
--- a/libraries/proxy/proxy_events.cpp
+++ b/libraries/proxy/proxy_events.cpp
@@ -46,6 +46,7 @@
     std::pair{proxy_event::caller_left, std::string_view{"caller_left"}},
     std::pair{proxy_event::attempt_failed, std::string_view{"attempt_failed"}},
     std::pair{proxy_event::request_blamed, std::string_view{"request_blamed"}},
+    std::pair{proxy_event::request_cut, std::string_view{"request_cut"}},
     std::pair{proxy_event::peer_heard, std::string_view{"peer_heard"}},
     std::pair{proxy_event::peer_message_unreadable, std::string_view{"peer_message_unreadable"}},
 };
--- a/libraries/proxy/proxy_events.h
+++ b/libraries/proxy/proxy_events.h
@@ -44,6 +44,7 @@
     caller_left = 11044,
     attempt_failed = 11045,
     request_blamed = 11046,
+    request_cut = 11047,
     peer_heard = 11050,
     peer_message_unreadable = 11052,
 };
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -145,6 +145,9 @@
     hooks->memory = environment_.memory;
     hooks->is_repeatable = [this](const auto& request) { return is_repeatable(request); };
     hooks->record_pipeline_wait = [this](auto waited) { environment_.metrics.record_pipeline_wait(waited); };
+    hooks->record_end = [this](auto reason, auto cut_requests) {
+        environment_.metrics.record_connection_end(to_name(reason), cut_requests);
+    };
     listener = std::make_shared<caller_listener>(context_, std::move(hooks));
     return listener->listen(address);
 }
@@ -305,6 +308,7 @@
     environment_.log.write(now, line_priority::important, proxy_event::configuration_applied,
                            {{"version", std::to_string(version.value())},
                             {"routes", std::to_string(applied.routes.size())},
+                            {"idle_timeout_ms", std::to_string(applied.limits.idle_timeout.count())},
                             {"faults", std::to_string(applied.faults.size())}});
     const auto logged = std::min(applied.faults.size(), maximum_logged_faults);
     for (std::size_t index = 0; index < logged; ++index) {
--- a/libraries/proxy/proxy_metrics.cpp
+++ b/libraries/proxy/proxy_metrics.cpp
@@ -35,6 +35,14 @@
                        .Name("wisterialane_store_calls_total")
                        .Help("Calls to the platform's store, by outcome")
                        .Register(*registry_)},
+      connection_ends_{prometheus::BuildCounter()
+                           .Name("wisterialane_connections_closed_total")
+                           .Help("Closed connections of callers, by reason")
+                           .Register(*registry_)},
+      cut_requests_{prometheus::BuildCounter()
+                        .Name("wisterialane_requests_cut_total")
+                        .Help("Requests without a response because their connection was closed, by reason")
+                        .Register(*registry_)},
       queue_time_{prometheus::BuildHistogram()
                       .Name("wisterialane_queue_seconds")
                       .Help("Time that requests waited for an upstream")
@@ -112,6 +120,15 @@
     attempts_.Add({{"outcome", std::string{outcome}}}).Increment();
 }
 
+void proxy_metrics::record_connection_end(std::string_view reason, std::size_t cut_requests)
+{
+    const prometheus::Labels labels{{"reason", std::string{reason}}};
+    connection_ends_.Add(labels).Increment();
+    if (cut_requests > 0) {
+        cut_requests_.Add(labels).Increment(static_cast<double>(cut_requests));
+    }
+}
+
 void proxy_metrics::record_handler_failure()
 {
     handler_failures_.Increment();
--- a/libraries/proxy/proxy_metrics.h
+++ b/libraries/proxy/proxy_metrics.h
@@ -26,6 +26,8 @@
     void record_request(const kernel::customer_name& customer, std::string_view outcome, kernel::duration elapsed);
 
     void record_attempt(std::string_view outcome);
+    /// Records the end of a caller's connection, and the requests that got no response because of it.
+    void record_connection_end(std::string_view reason, std::size_t cut_requests);
     /// Records an unexpected error of a handler of the event loop.
     void record_handler_failure();
     void record_store_call(std::string_view outcome);
@@ -50,6 +52,8 @@
     prometheus::Family<prometheus::Histogram>& request_times_;
     prometheus::Family<prometheus::Counter>& attempts_;
     prometheus::Family<prometheus::Counter>& store_calls_;
+    prometheus::Family<prometheus::Counter>& connection_ends_;
+    prometheus::Family<prometheus::Counter>& cut_requests_;
     prometheus::Histogram& queue_time_;
     prometheus::Histogram& pipeline_wait_;
     prometheus::Family<prometheus::Gauge>& upstreams_;
--- a/libraries/proxy/request_handler.cpp
+++ b/libraries/proxy/request_handler.cpp
@@ -24,6 +24,7 @@
 
 constexpr std::string_view served = "served";
 constexpr std::string_view caller_disconnected = "caller_left";
+constexpr std::string_view cut = "cut";
 
 std::string retry_after_text(kernel::duration wait)
 {
@@ -75,9 +76,9 @@
     selection_.service = context_.service;
     selection_.repeatable = is_repeatable();
     plan_ = attempt_plan{context_.route->maximum_attempts, is_repeatable()};
-    exchange_->on_disconnect([weak = weak_from_this()] {
+    exchange_->on_disconnect([weak = weak_from_this()](connection_end reason) {
         if (const auto self = weak.lock()) {
-            self->on_caller_disconnect();
+            self->on_disconnect(reason);
         }
     });
     start_deadline_timer();
@@ -482,16 +483,21 @@
     }
 }
 
-void request_handler::on_caller_disconnect()
+void request_handler::on_disconnect(connection_end reason)
 {
     if (ended_) {
         return;
     }
     const auto now = environment_.clock();
-    environment_.log.write(now, line_priority::routine, proxy_event::caller_left,
-                           {{"request", context_.request_id}, {"elapsed_ms", to_text(now - context_.received_at)}});
+    const bool caller_left = reason == connection_end::caller_closed;
+    environment_.log.write(now, caller_left ? line_priority::routine : line_priority::important,
+                           caller_left ? proxy_event::caller_left : proxy_event::request_cut,
+                           {{"request", context_.request_id},
+                            {"reason", std::string{to_name(reason)}},
+                            {"sends", std::to_string(plan_.attempts())},
+                            {"elapsed_ms", to_text(now - context_.received_at)}});
     cancel_attempts(exchange_outcome::neutral);
-    finish(caller_disconnected);
+    finish(caller_left ? caller_disconnected : cut);
     queue().dispatch(now);
 }
 
@@ -589,7 +595,8 @@
     queue_timer_.cancel();
     const auto now = environment_.clock();
     if (!context_.service.value().empty()) {
-        const auto unserved = outcome == caller_disconnected ? request_result::disconnected : request_result::unserved;
+        const bool disconnected = outcome == caller_disconnected || outcome == cut;
+        const auto unserved = disconnected ? request_result::disconnected : request_result::unserved;
         environment_.results.record(context_.service, outcome == served ? request_result::served : unserved, now);
     }
     environment_.metrics.record_request(context_.customer_name(), outcome, now - context_.received_at);
--- a/libraries/proxy/request_handler.h
+++ b/libraries/proxy/request_handler.h
@@ -71,7 +71,7 @@
     void respond_or_retry(exchange_outcome outcome, exchange_result result, kernel::time_point now);
 
     void on_deadline();
-    void on_caller_disconnect();
+    void on_disconnect(connection_end reason);
     void cancel_attempts(exchange_outcome evidence);
     void deliver(upstream_response from_upstream);
     void end_unserved(const refusal& cause);
--- a/tests/stand_ins/edge/upstream_stand_in.cpp
+++ b/tests/stand_ins/edge/upstream_stand_in.cpp
@@ -141,7 +141,7 @@
     ++used_slots_;
     const auto timer = std::make_shared<proxy::timer>(context_.get_executor());
     const auto disconnected = std::make_shared<bool>(false);
-    exchange->on_disconnect([timer, disconnected] {
+    exchange->on_disconnect([timer, disconnected](proxy::connection_end) {
         *disconnected = true;
         timer->cancel();
     });
--- a/utilities/wisterialanectl/request_explanation.cpp
+++ b/utilities/wisterialanectl/request_explanation.cpp
@@ -47,7 +47,7 @@
 bool is_end(const log_line& line)
 {
     return line.name == "request_served" || line.name == "request_failed" || line.name == "request_refused" ||
-           line.name == "caller_left";
+           line.name == "caller_left" || line.name == "request_cut";
 }
 
 std::string cause_of(const log_line& end)
@@ -58,6 +58,9 @@
     if (end.name == "caller_left") {
         return "the caller left before the answer";
     }
+    if (end.name == "request_cut") {
+        return "the host closed the connection before the answer: " + std::string{end.field("reason")};
+    }
     const auto reason = end.field("reason");
     const auto* known = std::find_if(std::begin(reason_texts), std::end(reason_texts),
                                      [reason](const auto& item) { return item.reason == reason; });
