--- /dev/null
+++ b/tests/proxy/test_late_event_loop.cpp
@@ -0,0 +1,80 @@
+#include "tests/proxy/session_fixture.h"
+
+#include <string>
+#include <thread>
+
+#include <doctest/doctest.h>
+
+namespace wisterialane::proxy {
+namespace {
+
+constexpr milliseconds idle_timeout{100};
+constexpr milliseconds stall{150};
+
+const std::string request = "GET /lot HTTP/1.1\r\nHost: a\r\n\r\n";
+const std::string first_half = request.substr(0, request.size() / 2);
+const std::string second_half = request.substr(request.size() / 2);
+
+caller_limits short_limits()
+{
+    caller_limits limits;
+    limits.idle_timeout = idle_timeout;
+    limits.header_timeout = idle_timeout;
+    return limits;
+}
+
+/// A session on a host whose event loop can stall while bytes of the caller arrive and timeouts pass.
+class stalled_session_fixture : public session_fixture {
+public:
+    stalled_session_fixture() : session_fixture{short_limits()} {}
+
+    /// Sends bytes; the event loop runs only after the stall, when they have arrived and the timeout has passed.
+    void send_into_stall(const std::string& bytes)
+    {
+        caller->write_some(boost::asio::buffer(bytes));
+        std::this_thread::sleep_for(stall);
+        context.restart();
+        context.poll();
+    }
+};
+
+} // namespace
+
+// Guards against LOST: passed on, then given up by the idle timeout of the time before.
+TEST_CASE_FIXTURE(stalled_session_fixture,
+                  "caller_session: request and idle timeout due in one turn: the request is answered" *
+                      doctest::may_fail())
+{
+    send_into_stall(request);
+    run_until([this] { return begun.size() == 1 || closed_for; });
+    REQUIRE(begun.size() == 1);
+    CHECK_FALSE(closed_for);
+    CHECK(disconnects == 0);
+    answer(0);
+    run_until([this] { return received_bodies().size() == 1 || caller_closed; });
+    CHECK(received_bodies() == std::vector<std::string>{"/lot"});
+}
+
+TEST_CASE_FIXTURE(stalled_session_fixture,
+                  "caller_session: rest of a head and its timeout due in one turn: the request is answered" *
+                      doctest::may_fail())
+{
+    send(first_half);
+    send_into_stall(second_half);
+    run_until([this] { return begun.size() == 1 || closed_for; });
+    REQUIRE(begun.size() == 1);
+    CHECK_FALSE(closed_for);
+    answer(0);
+    run_until([this] { return received_bodies().size() == 1 || caller_closed; });
+    CHECK(received_bodies() == std::vector<std::string>{"/lot"});
+}
+
+TEST_CASE_FIXTURE(stalled_session_fixture,
+                  "caller_session: no request within the idle timeout: is closed with its reason")
+{
+    run_until([this] { return closed_for.has_value(); });
+    CHECK(closed_for == connection_end::idle_timeout);
+    CHECK(cut_requests == 0);
+}
+
+} // namespace wisterialane::proxy
