Caller session: A timeout of the connection first reads what has arrived

Cause: the event loop takes in at most 128 ready descriptors at a time and runs due timers between them. After a stall, sessions beyond the first batch were closed by their idle timeout although a request waited at their socket; the caller gets no answer.

Change: on_input_timeout reads what waits, in up to 16 reads, and closes only if the phase has not ended by that.

--- a/libraries/proxy/caller_session.cpp
+++ b/libraries/proxy/caller_session.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::size_t read_bytes = 4096;
 constexpr std::size_t body_read_bytes = 16384;
+/// Reads of bytes that have arrived when a timeout ends.
+constexpr std::size_t maximum_reads_at_timeout = 16;
 /// Requests of one connection that are held at once. Further ones stay in the read buffer.
 constexpr std::size_t maximum_held_requests = 8;
 /// While the bodies of a connection's requests and responses exceed this size, no further request begins.
@@ -470,11 +472,28 @@
 {
     input_timer_.start(timeout, [weak = weak_from_this(), reason] {
         if (const auto self = weak.lock()) {
-            self->close(reason);
+            self->on_input_timeout(reason);
         }
     });
 }
 
+// The event loop may be late, so that bytes which came in time have not been read. They decide whether the phase has
+// ended; the connection is closed only if it has not.
+void caller_session::on_input_timeout(connection_end reason)
+{
+    const auto phase = current_phase();
+    for (std::size_t count = 0; count < maximum_reads_at_timeout; ++count) {
+        if (lingering_ || peek(socket_) != pending_input::bytes) {
+            break;
+        }
+        read();
+        if (closed_ || current_phase() != phase) {
+            return;
+        }
+    }
+    close(reason);
+}
+
 void caller_session::linger()
 {
     lingering_ = true;
--- a/libraries/proxy/caller_session.h
+++ b/libraries/proxy/caller_session.h
@@ -106,6 +106,7 @@
     [[nodiscard]] input_phase current_phase() const;
     void set_input_timeout();
     void expire_input_after(kernel::duration timeout, connection_end reason);
+    void on_input_timeout(connection_end reason);
     void linger();
     void discard(std::size_t count);
     [[nodiscard]] std::size_t unanswered_requests() const;
--- a/tests/proxy/test_late_event_loop.cpp
+++ b/tests/proxy/test_late_event_loop.cpp
@@ -1,7 +1,9 @@
 #include "tests/proxy/session_fixture.h"
 
+#include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -67,6 +69,28 @@
     CHECK(received_bodies() == std::vector<std::string>{"/lot"});
 }
 
+// Guards against closing a connection whose request has arrived but is not read: the event loop takes in a limited
+// number of ready connections at a time, and handles timeouts before the others.
+TEST_CASE_FIXTURE(stalled_session_fixture,
+                  "caller_session: 200 requests arrive in a stall after the idle timeout: all are answered")
+{
+    std::vector<std::unique_ptr<tcp_stream::socket_type>> callers;
+    callers.push_back(std::move(caller));
+    while (callers.size() < 200) {
+        connect();
+        callers.push_back(std::move(caller));
+    }
+    std::this_thread::sleep_for(stall);
+    for (const auto& each : callers) {
+        each->write_some(boost::asio::buffer(request));
+    }
+    context.restart();
+    context.poll();
+    CHECK_FALSE(closed_for);
+    CHECK(begun.size() == callers.size());
+    CHECK(disconnects == 0);
+}
+
 TEST_CASE_FIXTURE(stalled_session_fixture,
                   "caller_session: no request within the idle timeout: is closed with its reason")
 {
