Caller session: Both sides of a change of the idle time are granted

Cause: callers use an idle connection for up to four fifths of the time that they know. A host read the time when a connection became idle: after a version that raises it, older timers closed sooner than callers expect; one that lowers it held at once, also for callers that did not know it yet. And a request sent in time that was delayed or lost once on its way found its connection closed.

Change: when its timeout ends, a connection takes a longer time of the version in force; for the time in which a version comes into force a host grants the longer one of both versions; and it waits 1 s beyond it.

--- a/libraries/proxy/caller_session.cpp
+++ b/libraries/proxy/caller_session.cpp
@@ -24,6 +24,9 @@
 constexpr std::size_t maximum_held_bytes = std::size_t{256} * 1024;
 /// Bytes that are read ahead of the held requests, so that the end of the connection is detected.
 constexpr std::size_t maximum_read_ahead_bytes = std::size_t{64} * 1024;
+/// An idle connection is kept this much longer than the configuration says: a request that its caller sent in time may
+/// still be on its way, or have been lost once.
+constexpr std::chrono::milliseconds idle_timeout_margin{1000};
 /// The connection is closed if a request's body takes longer; callers have timeouts of their own.
 constexpr std::chrono::seconds body_timeout{30};
 constexpr std::chrono::seconds write_timeout{15};
@@ -454,7 +457,8 @@
         if (buffer_.size() == 0 && buffer_.capacity() > maximum_idle_buffer_bytes) {
             buffer_.shrink_to_fit();
         }
-        expire_input_after(hooks_->limits().idle_timeout, connection_end::idle_timeout);
+        granted_idle_time_ = hooks_->limits().idle_timeout;
+        expire_input_after(granted_idle_time_ + idle_timeout_margin, connection_end::idle_timeout);
         break;
     case input_phase::head:
         expire_input_after(hooks_->limits().header_timeout, connection_end::header_timeout);
@@ -491,9 +495,23 @@
             return;
         }
     }
+    if (reason == connection_end::idle_timeout && extend_idle_time()) {
+        return;
+    }
     close(reason);
 }
 
+// Returns whether a newer version of the configuration allows the connection to be idle for longer.
+bool caller_session::extend_idle_time()
+{
+    const auto granted = std::exchange(granted_idle_time_, hooks_->limits().idle_timeout);
+    if (granted_idle_time_ <= granted) {
+        return false;
+    }
+    expire_input_after(granted_idle_time_ - granted, connection_end::idle_timeout);
+    return true;
+}
+
 void caller_session::linger()
 {
     lingering_ = true;
--- a/libraries/proxy/caller_session.h
+++ b/libraries/proxy/caller_session.h
@@ -107,6 +107,7 @@
     void set_input_timeout();
     void expire_input_after(kernel::duration timeout, connection_end reason);
     void on_input_timeout(connection_end reason);
+    [[nodiscard]] bool extend_idle_time();
     void linger();
     void discard(std::size_t count);
     [[nodiscard]] std::size_t unanswered_requests() const;
@@ -128,6 +129,8 @@
     std::uint64_t refused_body_bytes_ = 0;
     kernel::time_point discard_until_{};
     kernel::time_point last_read_at_{};
+    /// Idle time that the connection may reach, by the limits when it became idle.
+    std::chrono::milliseconds granted_idle_time_{0};
     /// The phase whose timeout was started.
     std::optional<input_phase> timed_phase_;
     /// Exchanges that have not been answered completely, in the order of their requests.
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -136,9 +136,7 @@
 {
     auto hooks = std::make_shared<session_hooks>();
     hooks->handle_request = [this, handler](const auto& exchange) { handle_safely(exchange, handler); };
-    hooks->limits = [this] {
-        return environment_.routing ? environment_.routing->configuration().limits : caller_limits{};
-    };
+    hooks->limits = [this] { return current_limits(environment_.clock()); };
     hooks->is_draining = [this] { return environment_.stop.stopping(); };
     hooks->clock = environment_.clock;
     hooks->refuse_request = [this](const auto& exchange) { refuse_for_memory(exchange); };
@@ -270,6 +268,15 @@
     exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, environment_.metrics.render(), false});
 }
 
+caller_limits proxy_host::current_limits(kernel::time_point now) const
+{
+    auto limits = environment_.routing ? environment_.routing->configuration().limits : caller_limits{};
+    if (now < previous_idle_timeout_end_) {
+        limits.idle_timeout = std::max(limits.idle_timeout, previous_idle_timeout_);
+    }
+    return limits;
+}
+
 void proxy_host::update_gauges(kernel::time_point now)
 {
     auto& metrics = environment_.metrics;
@@ -297,6 +304,8 @@
     if (environment_.routing && version <= environment_.routing->version()) {
         return;
     }
+    previous_idle_timeout_ = current_limits(now).idle_timeout;
+    previous_idle_timeout_end_ = now + environment_.age_limits.definitive_refusal;
     environment_.routing = routing_table::create(std::move(configuration));
     const auto& applied = environment_.routing->configuration();
     environment_.quota.configure(applied.customers, now);
--- a/libraries/proxy/proxy_host.h
+++ b/libraries/proxy/proxy_host.h
@@ -82,6 +82,9 @@
 
     /// Whether a caller's request may run more than once.
     [[nodiscard]] bool is_repeatable(const http_request& request) const;
+    /// The limits of the version in force. For a while, callers may still rely on a longer idle timeout of the one
+    /// before.
+    [[nodiscard]] caller_limits current_limits(kernel::time_point now) const;
     void update_gauges(kernel::time_point now);
     void apply(traffic_configuration configuration);
     void on_directory_change(const upstream_record& record, directory_change change);
@@ -125,6 +128,9 @@
     one_shot_timer stop_timer_;
     kernel::instance_id instance_;
     kernel::time_point started_at_{};
+    /// Idle timeout of callers' connections before the version in force, and until when it is granted.
+    std::chrono::milliseconds previous_idle_timeout_{0};
+    kernel::time_point previous_idle_timeout_end_{};
     kernel::time_point services_reported_at_{};
     kernel::time_point state_sent_at_{};
     bool ready_ = false;
