--- a/utilities/wisterialane/edge_command.cpp
+++ b/utilities/wisterialane/edge_command.cpp
@@ -1,5 +1,6 @@
 #include "utilities/wisterialane/edge_command.h"
 
+#include "kernel/failure_report.h"
 #include "libraries/proxy/one_shot_timer.h"
 #include "libraries/proxy/proxy_events.h"
 #include "libraries/proxy/proxy_host.h"
@@ -189,6 +190,7 @@
 int run_edge_command(const std::vector<std::string>& arguments)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    kernel::install_failure_report();
     edge_options options;
     const auto description = make_description(options);
     try {
