Caller session: A head or body that is not complete in time gets 408

Cause: the connection was closed without a response, so the caller could not know that its request has not run.

Change: 408 that closes the connection; the metric keeps header_timeout and body_timeout as reasons. The memory of the incomplete request is returned at once.

--- a/libraries/proxy/caller_session.cpp
+++ b/libraries/proxy/caller_session.cpp
@@ -39,6 +39,10 @@
 constexpr std::chrono::milliseconds linger_time{1500};
 constexpr std::chrono::milliseconds tcp_user_timeout{5000};
 
+constexpr unsigned bad_request_status = 400;
+/// Says that the request has not run.
+constexpr unsigned request_timeout_status = 408;
+
 unsigned rejection_status(error_code reason)
 {
     if (reason == http::error::header_limit) {
@@ -47,7 +51,7 @@
     if (reason == http::error::body_limit) {
         return 413;
     }
-    return 400;
+    return bad_request_status;
 }
 
 bool has_body(unsigned status, http::verb method)
@@ -136,7 +140,7 @@
     const bool all_answered = std::all_of(exchanges_.begin(), exchanges_.end(),
                                           [](const auto& exchange) { return exchange->response_.has_value(); });
     if (exchanges_.empty() || !all_answered) {
-        close(lingering_ ? connection_end::response_sent : connection_end::caller_closed);
+        close(lingering_ ? end_after_response_ : connection_end::caller_closed);
     }
 }
 
@@ -172,7 +176,7 @@
         return false;
     }
     if (error) {
-        reject(error);
+        reject(rejection_status(error));
         return false;
     }
     if (!reading_body_ && !accept_head()) {
@@ -190,7 +194,7 @@
     const auto& head = parser_->get();
     const auto transfer_encoding = head[http::field::transfer_encoding];
     if ((!transfer_encoding.empty() && !boost::beast::iequals(transfer_encoding, "chunked")) || head.version() != 11) {
-        reject(http::make_error_code(http::error::bad_transfer_encoding));
+        reject(bad_request_status);
         return false;
     }
     reading_body_ = true;
@@ -242,14 +246,15 @@
     buffer_.clear();
 }
 
-void caller_session::reject(error_code reason)
+void caller_session::reject(unsigned status)
 {
     auto added = std::make_shared<caller_exchange>(shared_from_this(), http_request{}, parse_began_at_);
     added->begun_ = true;
-    added->response_ = caller_response{rejection_status(reason), {}, {}, true};
+    added->response_ = caller_response{status, {}, {}, true};
     added->responded_at_ = hooks_->clock();
     add_exchange(std::move(added));
     end_input();
+    input_memory_.release();
     send_next_response();
 }
 
@@ -485,9 +490,13 @@
 // ended; the connection is closed only if it has not.
 void caller_session::on_input_timeout(connection_end reason)
 {
+    if (lingering_) {
+        close(reason);
+        return;
+    }
     const auto phase = current_phase();
     for (std::size_t count = 0; count < maximum_reads_at_timeout; ++count) {
-        if (lingering_ || peek(socket_) != pending_input::bytes) {
+        if (peek(socket_) != pending_input::bytes) {
             break;
         }
         read();
@@ -498,6 +507,11 @@
     if (reason == connection_end::idle_timeout && extend_idle_time()) {
         return;
     }
+    if (reason == connection_end::header_timeout || reason == connection_end::body_timeout) {
+        end_after_response_ = reason;
+        reject(request_timeout_status);
+        return;
+    }
     close(reason);
 }
 
@@ -519,7 +533,7 @@
     end_input();
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    expire_input_after(linger_time, connection_end::response_sent);
+    expire_input_after(linger_time, end_after_response_);
     await_input();
 }
 
@@ -530,7 +544,7 @@
     const auto discarded = std::min<std::uint64_t>(refused_body_bytes_, count);
     refused_body_bytes_ -= discarded;
     if (lingering_ && discarded > 0 && hooks_->clock() < discard_until_) {
-        expire_input_after(linger_time, connection_end::response_sent);
+        expire_input_after(linger_time, end_after_response_);
     }
 }
 
--- a/libraries/proxy/caller_session.h
+++ b/libraries/proxy/caller_session.h
@@ -86,7 +86,7 @@
     [[nodiscard]] bool accept_head();
     void complete_request();
     void end_input();
-    void reject(error_code reason);
+    void reject(unsigned status);
     [[nodiscard]] bool reserve_input();
     [[nodiscard]] std::size_t body_size() const;
     void refuse_request();
@@ -144,6 +144,8 @@
     bool input_closed_ = false;
     bool awaiting_input_ = false;
     bool lingering_ = false;
+    /// Why the last response closes the connection.
+    connection_end end_after_response_ = connection_end::response_sent;
     /// This side closed the connection; operations that completed before are ignored.
     bool closed_ = false;
 };
--- a/libraries/proxy/connection_end.h
+++ b/libraries/proxy/connection_end.h
@@ -12,9 +12,9 @@
     response_sent,
     /// No request began within the idle timeout.
     idle_timeout,
-    /// The head of a request was not complete in time.
+    /// The head of a request was not complete in time; the caller got 408.
     header_timeout,
-    /// The body of a request was not complete in time.
+    /// The body of a request was not complete in time; the caller got 408.
     body_timeout,
     /// The caller did not take a response in time.
     response_timeout,
--- a/tests/proxy/test_late_event_loop.cpp
+++ b/tests/proxy/test_late_event_loop.cpp
@@ -93,6 +93,18 @@
     CHECK(disconnects == 0);
 }
 
+TEST_CASE_FIXTURE(stalled_session_fixture,
+                  "caller_session: head is not complete in time: 408 that closes the connection")
+{
+    send(first_half);
+    run_until([this] { return closed_for.has_value(); });
+    settle();
+    CHECK(received.rfind("HTTP/1.1 408", 0) == 0);
+    CHECK(received.find("Connection: close") != std::string::npos);
+    CHECK(closed_for == connection_end::header_timeout);
+    CHECK(begun.empty());
+}
+
 TEST_CASE_FIXTURE(stalled_session_fixture,
                   "caller_session: no request within the idle timeout: is closed with its reason")
 {
