Soak: Upstream stand-ins echo the request's id in refusals as well

Cause: the platform's servers echo the id in all their responses; the stand-in left it out when it refused (503, 421). On a used connection a response without an id answers no known request, so the host gave 502 for each refusal of a full upstream, where it sends elsewhere otherwise.

--- a/tests/stand_ins/edge/upstream_stand_in.cpp
+++ b/tests/stand_ins/edge/upstream_stand_in.cpp
@@ -78,7 +78,12 @@
 void upstream_stand_in::refuse(const exchange_pointer& exchange, unsigned status) const
 {
     const auto names = platform_adapter::platform_wire_names();
-    exchange->respond({status, {{names.not_executed, "1"}}, {}, false});
+    const std::string request_id{proxy::to_view(exchange->request()[names.request_id])};
+    proxy::caller_response response{status, {{names.not_executed, "1"}}, {}, false};
+    if (!request_id.empty()) {
+        response.headers.emplace_back(names.request_id, request_id);
+    }
+    exchange->respond(std::move(response));
 }
 
 void upstream_stand_in::handle(const exchange_pointer& exchange)
