Soak: Upstream stand-ins stop their work at the deadline

Cause: a request that hangs behind a blocked relay kept its slot for 60 s, since the stand-in could not see that the host had left. The platform's servers stop at the deadline that they receive.

--- a/tests/stand_ins/edge/upstream_stand_in.cpp
+++ b/tests/stand_ins/edge/upstream_stand_in.cpp
@@ -4,6 +4,7 @@
 #include "platform/node_settings.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include <nlohmann/json.hpp>
 
@@ -18,6 +19,16 @@
 /// The longest time for which tests keep hosts from receiving the state of an upstream.
 constexpr std::chrono::milliseconds maximum_store_fault{4500};
 
+// An upstream stops its work on a request at the deadline, also if it cannot see that the other side has left.
+std::chrono::milliseconds time_until_deadline(const proxy::http_request& request)
+{
+    constexpr std::chrono::milliseconds without_deadline{60000};
+    const auto text = proxy::to_view(request[platform_adapter::platform_wire_names().deadline]);
+    std::int64_t milliseconds = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+    return parsed.ec == std::errc{} ? std::chrono::milliseconds{milliseconds} : without_deadline;
+}
+
 } // namespace
 
 upstream_stand_in::upstream_stand_in(proxy::io_context& context, kernel::clock_source clock, store_stand_in& store,
@@ -151,10 +162,10 @@
         timer->cancel();
     });
     const bool hangs = mode_ == upstream_mode::hangs;
-    timer->expires_after(hangs ? std::chrono::milliseconds{60000} : options_.service_time);
-    timer->async_wait([this, exchange, request_id, timer, disconnected](proxy::error_code) {
+    timer->expires_after(hangs ? time_until_deadline(exchange->request()) : options_.service_time);
+    timer->async_wait([this, exchange, request_id, timer, disconnected, hangs](proxy::error_code) {
         --used_slots_;
-        if (*disconnected) {
+        if (hangs || *disconnected) {
             exchange->abort();
             return;
         }
