Caller session: The rest of a body that got 408 or 413 is read

Found by the review: after 408 and 413 the connection was closed 1.5 s later although the caller still sent; a close with unread bytes is a reset, and the response may be lost with it. Now, as after a refusal for lack of memory, what the caller still sends is read and dropped for up to 30 s; a timeout while it does so first reads what waits; and the memory of a partial next request is returned when the last response has been sent.

--- a/libraries/proxy/caller_session.cpp
+++ b/libraries/proxy/caller_session.cpp
@@ -248,6 +248,9 @@
 
 void caller_session::reject(unsigned status)
 {
+    if (status != bad_request_status) {
+        accept_refused_body();
+    }
     auto added = std::make_shared<caller_exchange>(shared_from_this(), http_request{}, parse_began_at_);
     added->begun_ = true;
     added->response_ = caller_response{status, {}, {}, true};
@@ -283,8 +286,7 @@
 
 void caller_session::refuse_request()
 {
-    refused_body_bytes_ = hooks_->limits().maximum_body_bytes;
-    discard_until_ = hooks_->clock() + body_timeout;
+    accept_refused_body();
     auto request = reading_body_ ? parser_->release() : http_request{};
     request.body() = std::string{};
     auto refused = std::make_shared<caller_exchange>(shared_from_this(), std::move(request), parse_began_at_);
@@ -300,6 +302,13 @@
     refused->respond({503, {}, {}, true});
 }
 
+// Lets the caller send the rest of its body, so that the connection is not reset before it has read the response.
+void caller_session::accept_refused_body()
+{
+    refused_body_bytes_ = hooks_->limits().maximum_body_bytes;
+    discard_until_ = hooks_->clock() + body_timeout;
+}
+
 void caller_session::add_exchange(exchange_pointer added)
 {
     parser_.reset();
@@ -503,6 +512,11 @@
         if (closed_ || current_phase() != phase) {
             return;
         }
+    const bool discards = lingering_ && refused_body_bytes_ > 0 && hooks_->clock() < discard_until_;
+    if (discards && peek(socket_) == pending_input::bytes) {
+        read();
+        return;
+    }
     }
     if (reason == connection_end::idle_timeout && extend_idle_time()) {
         return;
@@ -543,7 +557,9 @@
 {
     const auto discarded = std::min<std::uint64_t>(refused_body_bytes_, count);
     refused_body_bytes_ -= discarded;
+    parser_.reset();
     if (lingering_ && discarded > 0 && hooks_->clock() < discard_until_) {
+    input_memory_.release();
         expire_input_after(linger_time, end_after_response_);
     }
 }
--- a/libraries/proxy/caller_session.h
+++ b/libraries/proxy/caller_session.h
@@ -90,6 +90,7 @@
     [[nodiscard]] bool reserve_input();
     [[nodiscard]] std::size_t body_size() const;
     void refuse_request();
+    void accept_refused_body();
     void add_exchange(exchange_pointer added);
 
     [[nodiscard]] std::size_t held_bytes() const;
