Caller session: A connection with a waiting request is not closed as idle

Cause: at the end of a stop close_if_idle looked at what the session had read, not at what had arrived; a request that came while the event loop was late got no answer. continue_stop comes back every 50 ms, so the connection is closed then.

Evidence: the new test fails before (closed) and passes now. The older test beside it closed a session with close_if_idle while a request waited, which now leaves it open; it calls close() itself and checks the same: after a close no request is handled.

--- a/libraries/proxy/caller_session.cpp
+++ b/libraries/proxy/caller_session.cpp
@@ -595,7 +595,8 @@
 
 void caller_session::close_if_idle()
 {
-    if (exchanges_.empty() && !parser_ && buffer_.size() == 0 && !lingering_) {
+    const bool idle = exchanges_.empty() && !parser_ && buffer_.size() == 0 && !lingering_;
+    if (idle && peek(socket_) != pending_input::bytes) {
         close(connection_end::host_stopping);
     }
 }
--- a/tests/proxy/test_caller_session.cpp
+++ b/tests/proxy/test_caller_session.cpp
@@ -1,5 +1,8 @@
-#include "libraries/proxy/caller_session.h"
-#include "tests/proxy/proxy_fixture.h"
+#include "tests/proxy/session_fixture.h"
+
+#include <memory>
+#include <string>
+#include <vector>
 
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
@@ -28,9 +31,22 @@
     context.run_for(milliseconds{50});
     context.restart();
     session->start();
-    session->close_if_idle();
+    session->close(connection_end::host_stopping);
     context.run_for(milliseconds{200});
     CHECK(handled == 0);
 }
 
+// Guards against LOST at a stop: the request has arrived, the event loop has not read it yet.
+TEST_CASE_FIXTURE(session_fixture, "caller_session: closed if idle while a request waits: the request is answered")
+{
+    const std::string request = "GET /lot HTTP/1.1\r\nHost: a\r\n\r\n";
+    caller->write_some(boost::asio::buffer(request));
+    session->close_if_idle();
+    CHECK_FALSE(closed_for);
+    run_until([this] { return begun.size() == 1; });
+    answer(0);
+    run_until([this] { return received_bodies().size() == 1; });
+    CHECK(received_bodies() == std::vector<std::string>{"/lot"});
+}
+
 } // namespace wisterialane::proxy
