Caller session: A session whose interim response fails is closed

Cause: the write of "100 Continue" had no timeout, and its error was ignored. A response that waited behind it was never sent, the end of the input did not close the session because all was answered, and session and exchange kept each other for good: a descriptor and memory lost each time, and a stop that waits to its end. A caller that closed its side while the last response was sent ended without a record.

Change: all writes have the same timeout and the same end.

--- a/libraries/proxy/caller_session.cpp
+++ b/libraries/proxy/caller_session.cpp
@@ -219,10 +219,10 @@
     continue_requested_ = false;
     sending_ = true;
     outgoing_head_ = "HTTP/1.1 100 Continue\r\n\r\n";
+    start_response_timeout();
     boost::asio::async_write(socket_, boost::asio::buffer(outgoing_head_),
                              [self = shared_from_this()](error_code error, std::size_t) {
-                                 self->sending_ = false;
-                                 if (!error && !self->closed_) {
+                                 if (self->end_sending(error)) {
                                      self->send_next_response();
                                  }
                              });
@@ -394,22 +394,32 @@
     outgoing_body_ = with_body ? std::move(answered.response_->body) : std::string{};
     const std::array<boost::asio::const_buffer, 2> buffers{boost::asio::buffer(outgoing_head_),
                                                            boost::asio::buffer(outgoing_body_)};
+    start_response_timeout();
+    boost::asio::async_write(socket_, buffers, [self = shared_from_this(), is_last](error_code error, std::size_t) {
+        if (self->end_sending(error)) {
+            self->on_response_sent(is_last);
+        }
+    });
+}
+
+void caller_session::start_response_timeout()
+{
     output_timer_.start(write_timeout, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->close(connection_end::response_timeout);
         }
     });
-    boost::asio::async_write(socket_, buffers, [self = shared_from_this(), is_last](error_code error, std::size_t) {
-        self->sending_ = false;
-        if (self->closed_) {
-            return;
-        }
-        if (error) {
-            self->close(connection_end::caller_closed);
-            return;
-        }
-        self->on_response_sent(is_last);
-    });
+}
+
+// Returns whether the connection is still in use. A response that waits behind a failed one cannot be sent either.
+bool caller_session::end_sending(error_code error)
+{
+    sending_ = false;
+    output_timer_.cancel();
+    if (error) {
+        close(connection_end::caller_closed);
+    }
+    return !closed_;
 }
 
 // The requests behind a response that closes the connection have not begun.
@@ -431,8 +441,11 @@
 
 void caller_session::on_response_sent(bool is_last)
 {
-    output_timer_.cancel();
     exchanges_.pop_front();
+    if (is_last && input_closed_) {
+        close(end_after_response_);
+        return;
+    }
     if (is_last) {
         linger();
         return;
@@ -499,6 +512,11 @@
 // ended; the connection is closed only if it has not.
 void caller_session::on_input_timeout(connection_end reason)
 {
+    const bool discards = lingering_ && refused_body_bytes_ > 0 && hooks_->clock() < discard_until_;
+    if (discards && peek(socket_) == pending_input::bytes) {
+        read();
+        return;
+    }
     if (lingering_) {
         close(reason);
         return;
@@ -512,11 +530,6 @@
         if (closed_ || current_phase() != phase) {
             return;
         }
-    const bool discards = lingering_ && refused_body_bytes_ > 0 && hooks_->clock() < discard_until_;
-    if (discards && peek(socket_) == pending_input::bytes) {
-        read();
-        return;
-    }
     }
     if (reason == connection_end::idle_timeout && extend_idle_time()) {
         return;
@@ -544,7 +557,9 @@
 {
     lingering_ = true;
     exchanges_.clear();
+    parser_.reset();
     end_input();
+    input_memory_.release();
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     expire_input_after(linger_time, end_after_response_);
@@ -557,9 +572,7 @@
 {
     const auto discarded = std::min<std::uint64_t>(refused_body_bytes_, count);
     refused_body_bytes_ -= discarded;
-    parser_.reset();
     if (lingering_ && discarded > 0 && hooks_->clock() < discard_until_) {
-    input_memory_.release();
         expire_input_after(linger_time, end_after_response_);
     }
 }
--- a/libraries/proxy/caller_session.h
+++ b/libraries/proxy/caller_session.h
@@ -99,6 +99,8 @@
     void begin_exchanges();
     void accept_response(caller_exchange& answered, caller_response response);
     void send_next_response();
+    void start_response_timeout();
+    [[nodiscard]] bool end_sending(error_code error);
     [[nodiscard]] bool closes_after(const caller_exchange& answered) const;
     void on_response_sent(bool is_last);
     void record_wait(const caller_exchange& answered) const;
--- a/tests/proxy/test_caller_session.cpp
+++ b/tests/proxy/test_caller_session.cpp
@@ -36,6 +36,26 @@
     CHECK(handled == 0);
 }
 
+// Guards against a session that is never closed: its response waited behind an interim response that could not be sent.
+TEST_CASE_FIXTURE(session_fixture, "caller_session: caller resets before its interim response: the session ends")
+{
+    on_begin = [](caller_exchange& exchange) { exchange.respond({404, {}, {}, false}); };
+    reads = false;
+    const std::string request = "POST /x HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nab";
+    caller->set_option(boost::asio::socket_base::linger{true, 0});
+    caller->write_some(boost::asio::buffer(request));
+    caller->close();
+    const std::weak_ptr<caller_session> weak = session;
+    session.reset();
+    run_until([&] {
+        begun.clear();
+        return closed_for.has_value();
+    });
+    settle();
+    CHECK(closed_for == connection_end::caller_closed);
+    CHECK(weak.expired());
+}
+
 // Guards against LOST at a stop: the request has arrived, the event loop has not read it yet.
 TEST_CASE_FIXTURE(session_fixture, "caller_session: closed if idle while a request waits: the request is answered")
 {
@@ -49,4 +69,20 @@
     CHECK(received_bodies() == std::vector<std::string>{"/lot"});
 }
 
+TEST_CASE_FIXTURE(session_fixture,
+                  "caller_session: caller closes its side while the last response is sent: the end is recorded")
+{
+    constexpr std::size_t size = std::size_t{20} * 1024 * 1024;
+    reads = false;
+    send("GET /lot HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    begun.at(0)->respond({200, {}, std::string(size, 'x'), false});
+    settle();
+    caller->shutdown(tcp::socket::shutdown_send);
+    settle();
+    reads = true;
+    run_until([this] { return received.size() > size && closed_for; });
+    CHECK(closed_for == connection_end::response_sent);
+    CHECK(cut_requests == 0);
+}
+
 } // namespace wisterialane::proxy
