Proxy host: Only a version that lowers the idle time grants the older one

Found by the review (reading): each version renewed the grant, so versions in quick succession kept an older, longer idle time for good. Test: "proxy_host: newer version lowers the idle timeout" holds on.

--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -304,8 +304,13 @@
     if (environment_.routing && version <= environment_.routing->version()) {
         return;
     }
-    previous_idle_timeout_ = current_limits(now).idle_timeout;
-    previous_idle_timeout_end_ = now + environment_.age_limits.definitive_refusal;
+    const bool lowers_idle_timeout =
+        environment_.routing &&
+        configuration.limits.idle_timeout < environment_.routing->configuration().limits.idle_timeout;
+    if (lowers_idle_timeout) {
+        previous_idle_timeout_ = current_limits(now).idle_timeout;
+        previous_idle_timeout_end_ = now + environment_.age_limits.definitive_refusal;
+    }
     environment_.routing = routing_table::create(std::move(configuration));
     const auto& applied = environment_.routing->configuration();
     environment_.quota.configure(applied.customers, now);
