Host: A handler that fails does not end the waits of its kind

The event loop goes on after a handler that ends with an exception. But the handlers of accepted connections, datagrams of other hosts, ticks and the store's answers started the next wait as their last step. So one exception left a process that runs and, until it is restarted, accepts no connections, hears no other host, does not tick, or does not read the store.

Cause: the next wait depended on the success of the work before it. Now it is started first. The watches of the store start a timer, which the next call or the delay at the end of the step replaces.

No exception was seen in a handler; reading found none but a failed allocation.

Not covered: a failure in the middle of applying changed upstreams can lose the rest of these changes until the next complete read.

--- a/libraries/proxy/caller_listener.cpp
+++ b/libraries/proxy/caller_listener.cpp
@@ -33,13 +33,14 @@
             self->retry_timer_.start(accept_retry_delay, [self] { self->accept(); });
             return;
         }
+        // First, so that a session that fails does not end it.
+        self->accept();
         const auto session = std::make_shared<caller_session>(std::move(socket), self->hooks_);
         self->sessions_.push_back(session);
         session->start();
         if (++self->accepted_since_cleanup_ >= connections_between_cleanups) {
             self->remove_closed_sessions();
         }
-        self->accept();
     });
 }
 
--- a/libraries/proxy/peer_channel.cpp
+++ b/libraries/proxy/peer_channel.cpp
@@ -46,10 +46,14 @@
                                    if (failed == boost::asio::error::operation_aborted) {
                                        return;
                                    }
-                                   if (!failed) {
-                                       self->on_message_(decode_peer_message({self->buffer_.data(), count}));
+                                   if (failed) {
+                                       self->receive_next();
+                                       return;
                                    }
+                                   const auto message = decode_peer_message({self->buffer_.data(), count});
+                                   // First, so that a handler that fails does not end it.
                                    self->receive_next();
+                                   self->on_message_(message);
                                });
 }
 
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -442,6 +442,8 @@
 
 void proxy_host::tick()
 {
+    // First, so that a tick that fails does not end the next ones.
+    schedule(tick_timer_, tick_interval, &proxy_host::tick);
     const auto now = environment_.clock();
     peers_.set_load(load(now));
     update_expected_demand(now);
@@ -461,7 +463,6 @@
     }
     report_services(now);
     environment_.log.flush(now);
-    schedule(tick_timer_, tick_interval, &proxy_host::tick);
 }
 
 void proxy_host::report_services(kernel::time_point now)
--- a/libraries/proxy/store_watch.cpp
+++ b/libraries/proxy/store_watch.cpp
@@ -109,14 +109,18 @@
     return !failing_since_ && !lacks_newest_version() && last_success_at_ && now - *last_success_at_ < success_lifetime;
 }
 
+// Each step of a watch starts the timer for the next one before its work, so that one that fails does not end the
+// watch.
 void store_watch::watch_configuration()
 {
+    schedule(configuration_timer_, maximum_configuration_retry_delay, &store_watch::watch_configuration);
     const auto now = hooks_.clock();
     const bool newer_exists = relayed_version_ > hooks_.version();
     if (const auto wait = remaining_relay_wait(now); wait > kernel::duration::zero() && !newer_exists) {
         schedule(configuration_timer_, std::chrono::ceil<milliseconds>(wait), &store_watch::watch_configuration);
         return;
     }
+    configuration_timer_.cancel();
     reading_configuration_ = true;
     configuration_call_sent_at_ = now;
     const bool complete = !configuration_revision_;
@@ -138,6 +142,7 @@
     if (stopped_) {
         return;
     }
+    schedule(configuration_timer_, maximum_configuration_retry_delay, &store_watch::watch_configuration);
     if (!reading) {
         record_failure(configuration_call, reading.error());
         if (requires_full_read(reading.error())) {
@@ -196,10 +201,12 @@
 
 void store_watch::watch_upstreams()
 {
+    schedule(upstreams_timer_, maximum_upstreams_retry_delay, &store_watch::watch_upstreams);
     if (const auto wait = remaining_relay_wait(hooks_.clock()); wait > kernel::duration::zero()) {
         schedule(upstreams_timer_, std::chrono::ceil<milliseconds>(wait), &store_watch::watch_upstreams);
         return;
     }
+    upstreams_timer_.cancel();
     reading_upstreams_ = true;
     const bool complete = !upstreams_revision_;
     const auto done = [self = shared_from_this(), complete](const auto& reading) {
@@ -218,6 +225,7 @@
     if (stopped_) {
         return;
     }
+    schedule(upstreams_timer_, maximum_upstreams_retry_delay, &store_watch::watch_upstreams);
     const auto now = hooks_.clock();
     if (!reading) {
         record_failure(upstreams_call, reading.error());
