--- a/tests/edge/test_kept_connections.cpp
+++ b/tests/edge/test_kept_connections.cpp
@@ -170,8 +170,7 @@
 // and the end of the idle timeout in one turn of its event loop. The pause lasts until the timeout and its margin are
 // past.
 TEST_CASE_FIXTURE(kept_connections_fixture,
-                  "wisterialane edge: process paused past the idle timeout while 20 requests come on kept "
-                  "connections: each is answered")
+                  "wisterialane edge: paused past the idle timeout, 20 requests come meanwhile: all are answered")
 {
     await_service();
     open_connections(20);
