--- a/libraries/proxy/caller_session.cpp
+++ b/libraries/proxy/caller_session.cpp
@@ -25,7 +25,7 @@
 /// Bytes that are read ahead of the held requests, so that the end of the connection is detected.
 constexpr std::size_t maximum_read_ahead_bytes = std::size_t{64} * 1024;
 /// An idle connection is kept this much longer than the configuration says: a request that its caller sent in time may
-/// still be on its way, or have been lost once.
+/// still be on its way, or its packet may have been lost once.
 constexpr std::chrono::milliseconds idle_timeout_margin{1000};
 /// The connection is closed if a request's body takes longer; callers have timeouts of their own.
 constexpr std::chrono::seconds body_timeout{30};
