Tests: One fixture runs a process of the program between store, upstream and callers

test_kept_connections wrote again what test_memory_limit had: the store, the upstream of claims, the configuration, the callers' connections and the wait for service. process_fixture serves both.

--- a/tests/edge/test_memory_limit.cpp
+++ b/tests/edge/test_memory_limit.cpp
@@ -1,5 +1,4 @@
-#include "tests/soak/soak_fleet.h"
-#include "tests/stand_ins/edge/upstream_stand_in.h"
+#include "tests/edge/process_fixture.h"
 #include "tests/support/loopback.h"
 
 #include <algorithm>
@@ -90,121 +89,22 @@
     std::size_t sent_bytes_ = 0;
 };
 
-/// Sends one request and waits for its response or for the end of the connection.
-struct one_request : std::enable_shared_from_this<one_request> {
-    explicit one_request(proxy::io_context& context) : stream{context.get_executor()} {}
-
-    void send(const tcp::endpoint& to, std::string bytes)
-    {
-        outgoing = std::move(bytes);
-        stream.async_connect(to, [self = shared_from_this()](error_code failed) {
-            if (failed) {
-                self->done = true;
-                return;
-            }
-            boost::asio::async_write(self->stream, boost::asio::buffer(self->outgoing),
-                                     [self](error_code, std::size_t) {});
-            http::async_read(self->stream, self->buffer, self->response, [self](error_code ended, std::size_t) {
-                self->done = true;
-                self->status = ended ? 0 : self->response.result_int();
-            });
-        });
-    }
-
-    proxy::tcp_stream stream;
-    std::string outgoing;
-    boost::beast::flat_buffer buffer;
-    http::response<http::string_body> response;
-    unsigned status = 0;
-    bool done = false;
-};
-
-json make_route(const std::string& service)
-{
-    return {{"name", service},
-            {"route_kind", "non_idempotent"},
-            {"public", true},
-            {"match", {{"prefix", "/" + service + "/"}}},
-            {"action", {{"service", service}, {"timeout", "4000ms"}, {"attempts", 1}}}};
-}
-
-std::string make_request(const std::string& service, const std::string& id)
-{
-    return "POST /" + service + "/1 HTTP/1.1\r\nHost: gateway.example\r\nWisterialane-Request-Id: " + id +
-           "\r\nWisterialane-Deadline-Ms: 4000\r\nContent-Length: 2\r\n\r\nok";
-}
-
-/// A process of the program between callers and two upstreams, of which one sends bytes without end.
-struct memory_fixture {
-    proxy::io_context context{1};
-    kernel::clock_source clock = [] { return kernel::boot_clock::now(); };
-    store_stand_in store{context, clock};
-    request_tracker tracker;
-    std::optional<upstream_stand_in> claims;
-    std::unique_ptr<soak::soak_host> host;
-
-    static tcp::endpoint endpoint(std::uint16_t port)
-    {
-        return *proxy::parse_endpoint(test_support::loopback_address(port));
-    }
-
+/// A process between callers and two upstreams, of which one sends bytes without end.
+class memory_fixture : public process_fixture {
+public:
     memory_fixture()
+        : process_fixture{{"memory", first_port, 20, milliseconds{1500}, milliseconds{4000}, std::chrono::seconds{60}}}
     {
-        const auto store_address = endpoint(first_port);
-        REQUIRE(store.listen(store_address));
-        const auto claims_address = endpoint(first_port + 1);
-        claims.emplace(context, clock, store, tracker,
-                       upstream_stand_in::options{"u-claims", "claims", "z0", claims_address,
-                                                  test_support::loopback_address(first_port + 1).value(), 20,
-                                                  milliseconds{1500}});
-        REQUIRE(claims->start());
-        const json document{
-            {"version", "00000001"},
-            {"limits",
-             {{"max_header_bytes", 16384},
-              {"max_body_bytes", 67108864},
-              {"header_timeout", "3000ms"},
-              {"idle_timeout", "15000ms"}}},
-            {"listeners", {{{"host", "gateway.example"}, {"policy", {make_route("claims"), make_route("photos")}}}}},
-            {"upstreams", {{{"name", "claims"}}, {{"name", "photos"}}}}};
-        store.put("op", "config", document.dump());
         const json entry{{"address", test_support::loopback_address(first_port + 2).value()},
                          {"born", 1},
                          {"info", {{"service", "photos"}, {"version", "v1"}, {"zone", "z0"}, {"max_concurrency", 200}}},
                          {"status", {{"state", "ready"}, {"seq", 1}}}};
         store.put("servers", "u-endless", entry.dump());
-        host = std::make_unique<soak::soak_host>(context, clock, store_address, "memory", "z0", first_port + 10);
-        host->start();
-    }
-
-    void run_until(const std::function<bool()>& condition)
-    {
-        const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds{60};
-        while (!condition()) {
-            REQUIRE(std::chrono::steady_clock::now() < limit);
-            context.run_for(milliseconds{10});
-        }
-    }
-
-    std::shared_ptr<one_request> send(const std::string& service, const std::string& id)
-    {
-        auto request = std::make_shared<one_request>(context);
-        request->send(*proxy::parse_endpoint(kernel::socket_address{host->caller_address()}),
-                      make_request(service, id));
-        return request;
-    }
-
-    /// Waits until a claim is served, so that the host has its configuration and the upstreams.
-    void await_service()
-    {
-        for (int attempt = 0;; ++attempt) {
-            const auto first = send("claims", "w" + std::to_string(attempt));
-            run_until([&first] { return first->done; });
-            if (first->status == 200) {
-                return;
-            }
-            context.run_for(milliseconds{100});
-        }
+        start({{"max_header_bytes", 16384},
+               {"max_body_bytes", 67108864},
+               {"header_timeout", "3000ms"},
+               {"idle_timeout", "15000ms"}},
+              {"claims", "photos"});
     }
 };
 
@@ -233,9 +133,9 @@
         framing = "Content-Length: 9000000000\r\n";
     }
     CAPTURE(framing);
-    const endless_upstream endless{context, endpoint(first_port + 2), framing, block};
+    const endless_upstream endless{context, endpoint(2), framing, block};
     await_service();
-    std::deque<std::shared_ptr<one_request>> requests;
+    std::deque<std::shared_ptr<caller_connection>> requests;
     constexpr std::size_t claim_count = 10;
     for (std::size_t index = 0; index < claim_count; ++index) {
         requests.push_back(send("claims", "c" + std::to_string(index)));
@@ -245,11 +145,11 @@
         requests.push_back(send("photos", "p" + std::to_string(index)));
     }
     run_until([&requests] {
-        return std::all_of(requests.begin(), requests.end(), [](const auto& request) { return request->done; });
+        return std::all_of(requests.begin(), requests.end(), [](const auto& request) { return !request->waits(); });
     });
     for (std::size_t index = 0; index < requests.size(); ++index) {
         CAPTURE(index);
-        CHECK(requests[index]->status == (index < claim_count ? 200 : 502));
+        CHECK(requests[index]->status() == (index < claim_count ? 200 : 502));
     }
     CHECK(endless.sent_bytes() > 0);
     CHECK_FALSE(host->has_exited());
