--- a/libraries/proxy/proxy_metrics.cpp
+++ b/libraries/proxy/proxy_metrics.cpp
@@ -16,85 +16,63 @@
     return buckets;
 }
 
+prometheus::Family<prometheus::Counter>& add_counters(prometheus::Registry& registry, const char* name,
+                                                      const char* help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Family<prometheus::Gauge>& add_gauges(prometheus::Registry& registry, const char* name, const char* help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Gauge& add_gauge(prometheus::Registry& registry, const char* name, const char* help)
+{
+    return add_gauges(registry, name, help).Add({});
+}
+
+prometheus::Family<prometheus::Histogram>& add_histograms(prometheus::Registry& registry, const char* name,
+                                                          const char* help)
+{
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
 } // namespace
 
 proxy_metrics::proxy_metrics()
-    : registry_{std::make_shared<prometheus::Registry>()}, requests_{prometheus::BuildCounter()
-                                                                         .Name("wisterialane_requests_total")
-                                                                         .Help("Requests by outcome")
-                                                                         .Register(*registry_)},
-      request_times_{prometheus::BuildHistogram()
-                         .Name("wisterialane_request_seconds")
-                         .Help("Time from a request to the end of its handling, by customer")
-                         .Register(*registry_)},
-      attempts_{prometheus::BuildCounter()
-                    .Name("wisterialane_attempts_total")
-                    .Help("Requests sent to upstreams, by outcome")
-                    .Register(*registry_)},
-      store_calls_{prometheus::BuildCounter()
-                       .Name("wisterialane_store_calls_total")
-                       .Help("Calls to the platform's store, by outcome")
-                       .Register(*registry_)},
-      connection_ends_{prometheus::BuildCounter()
-                           .Name("wisterialane_connections_closed_total")
-                           .Help("Closed connections of callers, by reason")
-                           .Register(*registry_)},
-      cut_requests_{prometheus::BuildCounter()
-                        .Name("wisterialane_requests_cut_total")
-                        .Help("Requests without a response because their connection was closed, by reason")
-                        .Register(*registry_)},
-      queue_time_{prometheus::BuildHistogram()
-                      .Name("wisterialane_queue_seconds")
-                      .Help("Time that requests waited for an upstream")
-                      .Register(*registry_)
+    : registry_{std::make_shared<prometheus::Registry>()}, requests_{add_counters(*registry_,
+                                                                                  "wisterialane_requests_total",
+                                                                                  "Requests by outcome")},
+      request_times_{add_histograms(*registry_, "wisterialane_request_seconds",
+                                    "Time from a request to the end of its handling, by customer")},
+      attempts_{add_counters(*registry_, "wisterialane_attempts_total", "Requests sent to upstreams, by outcome")},
+      store_calls_{
+          add_counters(*registry_, "wisterialane_store_calls_total", "Calls to the platform's store, by outcome")},
+      connection_ends_{add_counters(*registry_, "wisterialane_connections_closed_total",
+                                    "Closed connections of callers, by reason")},
+      cut_requests_{add_counters(*registry_, "wisterialane_requests_cut_total",
+                                 "Requests without a response because their connection was closed, by reason")},
+      queue_time_{add_histograms(*registry_, "wisterialane_queue_seconds", "Time that requests waited for an upstream")
                       .Add({}, latency_buckets())},
-      pipeline_wait_{prometheus::BuildHistogram()
-                         .Name("wisterialane_pipeline_wait_seconds")
-                         .Help("Time that pipelined requests waited for earlier ones of their connection")
-                         .Register(*registry_)
+      pipeline_wait_{add_histograms(*registry_, "wisterialane_pipeline_wait_seconds",
+                                    "Time that pipelined requests waited for earlier ones of their connection")
                          .Add({}, latency_buckets())},
-      upstreams_{
-          prometheus::BuildGauge().Name("wisterialane_upstreams").Help("Upstreams by state").Register(*registry_)},
-      configuration_version_{prometheus::BuildGauge()
-                                 .Name("wisterialane_configuration_version")
-                                 .Help("Version in force")
-                                 .Register(*registry_)
-                                 .Add({})},
-      configuration_age_{prometheus::BuildGauge()
-                             .Name("wisterialane_configuration_age_seconds")
-                             .Help("Time since the version was known to be the newest")
-                             .Register(*registry_)
-                             .Add({})},
-      configuration_faults_{prometheus::BuildGauge()
-                                .Name("wisterialane_configuration_faults")
-                                .Help("Invalid objects of the version in force")
-                                .Register(*registry_)
-                                .Add({})},
-      configuration_not_applicable_{prometheus::BuildGauge()
-                                        .Name("wisterialane_configuration_not_applicable")
-                                        .Help("1 while the store holds a version that this host cannot apply")
-                                        .Register(*registry_)
-                                        .Add({})},
-      message_memory_{prometheus::BuildGauge()
-                          .Name("wisterialane_message_memory_bytes")
-                          .Help("Memory that requests and responses use")
-                          .Register(*registry_)
-                          .Add({})},
-      message_memory_capacity_{prometheus::BuildGauge()
-                                   .Name("wisterialane_message_memory_capacity_bytes")
-                                   .Help("Memory that requests and responses may use")
-                                   .Register(*registry_)
-                                   .Add({})},
-      handler_failures_{prometheus::BuildCounter()
-                            .Name("wisterialane_handler_failures_total")
-                            .Help("Unexpected errors of handlers")
-                            .Register(*registry_)
-                            .Add({})},
-      dropped_log_lines_{prometheus::BuildGauge()
-                             .Name("wisterialane_log_lines_left_out")
-                             .Help("Log lines left out since the start")
-                             .Register(*registry_)
-                             .Add({})}
+      upstreams_{add_gauges(*registry_, "wisterialane_upstreams", "Upstreams by state")},
+      configuration_version_{add_gauge(*registry_, "wisterialane_configuration_version", "Version in force")},
+      configuration_age_{add_gauge(*registry_, "wisterialane_configuration_age_seconds",
+                                   "Time since the version was known to be the newest")},
+      configuration_faults_{
+          add_gauge(*registry_, "wisterialane_configuration_faults", "Invalid objects of the version in force")},
+      configuration_not_applicable_{add_gauge(*registry_, "wisterialane_configuration_not_applicable",
+                                              "1 while the store holds a version that this host cannot apply")},
+      message_memory_{
+          add_gauge(*registry_, "wisterialane_message_memory_bytes", "Memory that requests and responses use")},
+      message_memory_capacity_{add_gauge(*registry_, "wisterialane_message_memory_capacity_bytes",
+                                         "Memory that requests and responses may use")},
+      handler_failures_{
+          add_counters(*registry_, "wisterialane_handler_failures_total", "Unexpected errors of handlers").Add({})},
+      dropped_log_lines_{add_gauge(*registry_, "wisterialane_log_lines_left_out", "Log lines left out since the start")}
 {}
 
 void proxy_metrics::record_request(const kernel::customer_name& customer, std::string_view outcome,
