--- a/libraries/proxy/caller_exchange.h
+++ b/libraries/proxy/caller_exchange.h
@@ -61,11 +61,11 @@
 private:
     friend class caller_session;
 
-    /// Memory of the request.
-    memory_reservation request_memory_;
     /// Bytes of the request's and the response's bodies.
     [[nodiscard]] std::size_t held_bytes() const;
 
+    /// Memory of the request.
+    memory_reservation request_memory_;
     std::shared_ptr<caller_session> session_;
     http_request request_;
     kernel::time_point received_at_;
