Network: One function releases the read buffer of an idle connection

The bound and the check stood in caller_session and in upstream_exchange. An upstream's connection is kept only with an empty buffer, so the check for that is the same in both.

--- a/libraries/proxy/caller_session.cpp
+++ b/libraries/proxy/caller_session.cpp
@@ -32,8 +32,6 @@
 constexpr std::chrono::seconds write_timeout{15};
 /// Memory of a request besides its head and body, and of its handler; the head is held a second time while it is sent.
 constexpr std::size_t request_overhead_bytes = 4096;
-/// A greater read buffer is not kept while the connection is idle.
-constexpr std::size_t maximum_idle_buffer_bytes = std::size_t{16} * 1024;
 /// After the last response the caller's remaining bytes are read for this time, because closing with unread bytes
 /// resets the connection, and the caller could lose the response.
 constexpr std::chrono::milliseconds linger_time{1500};
@@ -481,9 +479,7 @@
     timed_phase_ = phase;
     switch (phase) {
     case input_phase::idle:
-        if (buffer_.size() == 0 && buffer_.capacity() > maximum_idle_buffer_bytes) {
-            buffer_.shrink_to_fit();
-        }
+        release_idle_buffer(buffer_);
         granted_idle_time_ = hooks_->limits().idle_timeout;
         expire_input_after(granted_idle_time_ + idle_timeout_margin, connection_end::idle_timeout);
         break;
--- a/libraries/proxy/network.cpp
+++ b/libraries/proxy/network.cpp
@@ -4,11 +4,18 @@
 
 #include <cerrno>
 #include <charconv>
+#include <cstddef>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace wisterialane::proxy {
+namespace {
+
+/// A greater read buffer is not kept with an idle connection.
+constexpr std::size_t maximum_idle_buffer_bytes = std::size_t{16} * 1024;
+
+} // namespace
 
 std::optional<tcp::endpoint> parse_endpoint(const kernel::socket_address& address)
 {
@@ -53,6 +60,13 @@
     return {};
 }
 
+void release_idle_buffer(boost::beast::flat_buffer& buffer)
+{
+    if (buffer.size() == 0 && buffer.capacity() > maximum_idle_buffer_bytes) {
+        buffer.shrink_to_fit();
+    }
+}
+
 pending_input peek(tcp_stream::socket_type& socket)
 {
     char byte = 0;
--- a/libraries/proxy/network.h
+++ b/libraries/proxy/network.h
@@ -13,6 +13,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/beast/core/basic_stream.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 
 namespace wisterialane::proxy {
 
@@ -40,6 +41,9 @@
 /// Opens, binds and listens. Fails with `listen_failed`.
 kernel::result<void> listen_at(tcp_acceptor& acceptor, const tcp::endpoint& address, int backlog);
 
+/// Releases the memory of an empty read buffer that has grown large, so that an idle connection does not keep it.
+void release_idle_buffer(boost::beast::flat_buffer& buffer);
+
 /// What a read of a connection would return now; `closed` stands for the end of the stream or an error.
 enum class pending_input { none, bytes, closed };
 
--- a/libraries/proxy/upstream_exchange.cpp
+++ b/libraries/proxy/upstream_exchange.cpp
@@ -20,8 +20,6 @@
 constexpr std::size_t growth_factor = 2;
 /// A small message with its head.
 constexpr std::size_t maximum_small_response_bytes = small_message_bytes + initial_response_bytes;
-/// A greater read buffer is not kept with an idle connection.
-constexpr std::size_t maximum_idle_buffer_bytes = std::size_t{16} * 1024;
 /// Bytes that are read ahead of the parser, such as those of a chunk's header.
 constexpr std::size_t maximum_buffered_bytes = 128 * 1024;
 /// Interim responses and responses to earlier requests that are skipped before the request's own response.
@@ -303,9 +301,7 @@
     const auto idle = idle_time_of(result_.response.headers) - idle_time_margin;
     if (reusable && idle > std::chrono::milliseconds{0}) {
         connection_->usable_until = clock_() + idle;
-        if (connection_->buffer.capacity() > maximum_idle_buffer_bytes) {
-            connection_->buffer.shrink_to_fit();
-        }
+        release_idle_buffer(connection_->buffer);
         connections_.release(request_.upstream, std::move(connection_));
     }
     finish(exchange_end::response_received);
