Caller session: The wait after the last response has a timeout of its own

on_input_timeout began with two branches for a connection that lingers, and the condition for reading on stood there and in discard(). Now the linger timeout has its own function, and both ask may_discard(). It starts the next wait before it reads: if the time for the body ended between the two checks of the clock, no timer ran any more, and only the caller could end the connection (by reading; no test).

--- a/libraries/proxy/caller_session.cpp
+++ b/libraries/proxy/caller_session.cpp
@@ -508,15 +508,6 @@
 // ended; the connection is closed only if it has not.
 void caller_session::on_input_timeout(connection_end reason)
 {
-    const bool discards = lingering_ && refused_body_bytes_ > 0 && hooks_->clock() < discard_until_;
-    if (discards && peek(socket_) == pending_input::bytes) {
-        read();
-        return;
-    }
-    if (lingering_) {
-        close(reason);
-        return;
-    }
     const auto phase = current_phase();
     for (std::size_t count = 0; count < maximum_reads_at_timeout; ++count) {
         if (peek(socket_) != pending_input::bytes) {
@@ -558,19 +549,42 @@
     input_memory_.release();
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    expire_input_after(linger_time, end_after_response_);
+    start_linger_timeout();
     await_input();
 }
 
+void caller_session::start_linger_timeout()
+{
+    input_timer_.start(linger_time, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->on_linger_timeout();
+        }
+    });
+}
+
+void caller_session::on_linger_timeout()
+{
+    if (may_discard() && peek(socket_) == pending_input::bytes) {
+        start_linger_timeout();
+        read();
+        return;
+    }
+    close(end_after_response_);
+}
+
 // A caller that still sends a refused body would lose the response if the connection were reset. It is given the time
 // that it needs, as long as it sends.
+bool caller_session::may_discard() const
+{
+    return refused_body_bytes_ > 0 && hooks_->clock() < discard_until_;
+}
+
 void caller_session::discard(std::size_t count)
 {
-    const auto discarded = std::min<std::uint64_t>(refused_body_bytes_, count);
-    refused_body_bytes_ -= discarded;
-    if (lingering_ && discarded > 0 && hooks_->clock() < discard_until_) {
-        expire_input_after(linger_time, end_after_response_);
+    if (lingering_ && count > 0 && may_discard()) {
+        start_linger_timeout();
     }
+    refused_body_bytes_ -= std::min<std::uint64_t>(refused_body_bytes_, count);
 }
 
 // Those whose responses have begun to be sent count as well.
--- a/libraries/proxy/caller_session.h
+++ b/libraries/proxy/caller_session.h
@@ -112,6 +112,9 @@
     void on_input_timeout(connection_end reason);
     [[nodiscard]] bool extend_idle_time();
     void linger();
+    void start_linger_timeout();
+    void on_linger_timeout();
+    [[nodiscard]] bool may_discard() const;
     void discard(std::size_t count);
     [[nodiscard]] std::size_t unanswered_requests() const;
 
