--- a/kernel/decision_log.cpp
+++ b/kernel/decision_log.cpp
@@ -26,6 +26,11 @@
 
 } // namespace
 
+std::string to_milliseconds_text(duration time)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 decision_log::decision_log(options log_options)
     : options_{log_options},
       // Both buckets start full.
--- a/kernel/decision_log.h
+++ b/kernel/decision_log.h
@@ -11,6 +11,9 @@
 
 namespace wisterialane::kernel {
 
+/// Returns a duration as a log field: whole milliseconds, without the unit.
+[[nodiscard]] std::string to_milliseconds_text(duration time);
+
 /// Whether a line counts against the rate of routine or of important lines.
 enum class line_priority { routine, important };
 
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -55,11 +55,6 @@
 constexpr milliseconds stop_check_interval{50};
 constexpr std::size_t instance_digits = 16;
 
-std::string to_milliseconds_text(kernel::duration time)
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
-}
-
 std::string_view to_text(directory_change change)
 {
     switch (change) {
@@ -217,7 +212,7 @@
                             {"status", "503"},
                             {"reason", "memory"},
                             {"used_bytes", std::to_string(environment_.memory->used())},
-                            {"elapsed_ms", to_milliseconds_text(now - exchange->received_at())}});
+                            {"elapsed_ms", kernel::to_milliseconds_text(now - exchange->received_at())}});
     environment_.metrics.record_request({}, "memory", now - exchange->received_at());
     caller_response response{503, {{"Retry-After", "1"}}, {}, true};
     if (!id.empty()) {
@@ -482,23 +477,23 @@
         if (static_cast<double>(summary.results.unserved) <= reported_unserved_fraction * ended) {
             continue;
         }
-        const auto latency = std::chrono::duration_cast<milliseconds>(environment_.balancer.service_latency(service));
-        environment_.log.write(now, line_priority::important, proxy_event::service_unserved,
-                               {{"service", service.value()},
-                                {"served", std::to_string(summary.results.served)},
-                                {"unserved", std::to_string(summary.results.unserved)},
-                                {"waiting", std::to_string(queue.size())},
-                                {"strained", summary.strained ? "yes" : "no"},
-                                {"trusted", std::to_string(summary.trusted)},
-                                {"trial", std::to_string(summary.on_trial)},
-                                {"suspected", std::to_string(summary.suspected)},
-                                {"limited", std::to_string(summary.limited)},
-                                {"missing", std::to_string(summary.missing)},
-                                {"stuck", std::to_string(summary.stuck)},
-                                {"slow", std::to_string(summary.slow)},
-                                {"used", std::to_string(summary.recently_used)},
-                                {"in_flight", std::to_string(summary.in_flight)},
-                                {"latency_ms", std::to_string(latency.count())}});
+        environment_.log.write(
+            now, line_priority::important, proxy_event::service_unserved,
+            {{"service", service.value()},
+             {"served", std::to_string(summary.results.served)},
+             {"unserved", std::to_string(summary.results.unserved)},
+             {"waiting", std::to_string(queue.size())},
+             {"strained", summary.strained ? "yes" : "no"},
+             {"trusted", std::to_string(summary.trusted)},
+             {"trial", std::to_string(summary.on_trial)},
+             {"suspected", std::to_string(summary.suspected)},
+             {"limited", std::to_string(summary.limited)},
+             {"missing", std::to_string(summary.missing)},
+             {"stuck", std::to_string(summary.stuck)},
+             {"slow", std::to_string(summary.slow)},
+             {"used", std::to_string(summary.recently_used)},
+             {"in_flight", std::to_string(summary.in_flight)},
+             {"latency_ms", kernel::to_milliseconds_text(environment_.balancer.service_latency(service))}});
     }
 }
 
@@ -515,8 +510,7 @@
     environment_.log.write(now, line_priority::important, proxy_event::readiness_changed,
                            {{"ready", ready ? "yes" : "no"},
                             {"stopping", environment_.stop.stopping() ? "yes" : "no"},
-                            {"age_ms", age ? std::to_string(std::chrono::duration_cast<milliseconds>(*age).count())
-                                           : std::string{"unknown"}}});
+                            {"age_ms", age ? kernel::to_milliseconds_text(*age) : "unknown"}});
     // Without this message the other hosts could not tell a stopping host from one that has lost its network.
     send_state(active_ ? peers_.all_peer_addresses() : peers_.recipient_addresses(now));
 }
--- a/libraries/proxy/request_handler.cpp
+++ b/libraries/proxy/request_handler.cpp
@@ -34,11 +34,6 @@
     return text + std::string(3 - fraction.size(), '0') + fraction;
 }
 
-std::string to_text(kernel::duration time)
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
-}
-
 bool is_unexecuted_refusal(const upstream_response& response, const wire_names& names)
 {
     return response.status == misdirected_status || response.headers.count(names.not_executed) > 0;
@@ -375,7 +370,7 @@
                             {"end", std::string{to_name(result.end)}},
                             {"status", std::to_string(result.response.status)},
                             {"reused", result.reused ? "yes" : "no"},
-                            {"elapsed_ms", to_text(now - ended.sent_at)}});
+                            {"elapsed_ms", kernel::to_milliseconds_text(now - ended.sent_at)}});
     share_evidence(ended, outcome, result, unexpected, now);
 }
 
@@ -485,7 +480,7 @@
                            {{"request", context_.request_id},
                             {"reason", std::string{to_name(reason)}},
                             {"sends", std::to_string(plan_.attempts())},
-                            {"elapsed_ms", to_text(now - context_.received_at)}});
+                            {"elapsed_ms", kernel::to_milliseconds_text(now - context_.received_at)}});
     cancel_attempts(exchange_outcome::neutral);
     finish(caller_left ? caller_disconnected : cut);
     queue().dispatch(now);
@@ -527,7 +522,7 @@
                                 {"reason", "answer_of_upstream"},
                                 {"upstream", responding_upstream_.value()},
                                 {"sends", std::to_string(plan_.attempts())},
-                                {"elapsed_ms", to_text(now - context_.received_at)}});
+                                {"elapsed_ms", kernel::to_milliseconds_text(now - context_.received_at)}});
     }
     else {
         environment_.log.write(now, line_priority::routine, proxy_event::request_served,
@@ -536,7 +531,7 @@
                                 {"version", std::to_string(context_.table->version().value())},
                                 {"upstream", responding_upstream_.value()},
                                 {"sends", std::to_string(plan_.attempts())},
-                                {"elapsed_ms", to_text(now - context_.received_at)}});
+                                {"elapsed_ms", kernel::to_milliseconds_text(now - context_.received_at)}});
     }
     caller_response response;
     response.status = from_upstream.status;
@@ -560,9 +555,9 @@
                             {"status", std::to_string(cause.status)},
                             {"reason", std::string{cause.reason}},
                             {"version", context_.table ? std::to_string(context_.table->version().value()) : "0"},
-                            {"age_ms", age ? to_text(*age) : "unknown"},
+                            {"age_ms", age ? kernel::to_milliseconds_text(*age) : "unknown"},
                             {"sends", std::to_string(plan_.attempts())},
-                            {"elapsed_ms", to_text(now - context_.received_at)}});
+                            {"elapsed_ms", kernel::to_milliseconds_text(now - context_.received_at)}});
     caller_response response;
     response.status = cause.status;
     if (!context_.request_id.empty()) {
--- a/libraries/proxy/store_watch.cpp
+++ b/libraries/proxy/store_watch.cpp
@@ -342,9 +342,8 @@
     metrics_.record_store_call("answered");
     if (failing_since_) {
         const auto now = hooks_.clock();
-        const auto outage_ms = std::chrono::duration_cast<milliseconds>(now - *failing_since_).count();
         log_.write(now, line_priority::important, proxy_event::store_recovered,
-                   {{"call", std::string{call}}, {"away_ms", std::to_string(outage_ms)}});
+                   {{"call", std::string{call}}, {"away_ms", kernel::to_milliseconds_text(now - *failing_since_)}});
         failing_since_.reset();
     }
 }
