--- a/review/stand_ins-2/harness.cpp
+++ b/review/stand_ins-2/harness.cpp
@@ -13,6 +13,7 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -25,6 +26,8 @@
 
 const auto case_start = steady_clock::now();
 
+/// A case that takes longer could not run.
+constexpr unsigned longest_case_s = 115;
 constexpr double store_answer_ms = 4;
 constexpr std::size_t maximum_page_rows = 500;
 constexpr double heartbeat_ms = 1500;
@@ -782,6 +785,8 @@
     started_at_ = now_ms();
     process_ = ::fork();
     if (process_ == 0) {
+        // So that no process is left if the case is ended from outside.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int file = ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(file, 1);
         ::dup2(file, 2);
@@ -914,6 +919,9 @@
 int run_case(const std::function<bool(record& log, const std::string& folder, bool trouble)>& play)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGALRM, [](int) { ::_exit(2); });
+    std::signal(SIGTERM, [](int) { ::_exit(2); });
+    ::alarm(longest_case_s);
     const char* given = std::getenv("TROUBLE");
     const bool trouble = given == nullptr || std::string{given} != "0";
     const char* path = std::getenv("RECORD");
