Observability: Source of the news that an upstream leaves, datagrams between hosts

The logs could not tell whether hosts that go on with a leaving upstream had not been told by the store reader, or had been told by a response or another host and did not act on it; and nothing counted the messages between hosts, in which the reader's news could be lost.

upstream_leaving and upstream_removed name their source; the metrics wisterialane_peer_datagrams and wisterialane_peer_bytes count what was sent, dropped by the socket and received. No decision changes.

--- a/libraries/proxy/peer_channel.cpp
+++ b/libraries/proxy/peer_channel.cpp
@@ -32,9 +32,16 @@
     for (const auto& address : to) {
         if (const auto endpoint = parse_endpoint(address)) {
             // A datagram that the socket cannot send at once is dropped, as if the network had lost it.
-            error_code ignored;
+            error_code failed;
             socket_.send_to(boost::asio::buffer(bytes), udp::endpoint{endpoint->address(), endpoint->port()}, 0,
-                            ignored);
+                            failed);
+            if (failed) {
+                ++traffic_.dropped;
+                traffic_.dropped_bytes += bytes.size();
+                continue;
+            }
+            ++traffic_.sent;
+            traffic_.sent_bytes += bytes.size();
         }
     }
 }
@@ -50,6 +57,8 @@
                                        self->receive_next();
                                        return;
                                    }
+                                   ++self->traffic_.received;
+                                   self->traffic_.received_bytes += count;
                                    const auto message = decode_peer_message({self->buffer_.data(), count});
                                    // First, so that a handler that fails does not end it.
                                    self->receive_next();
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -328,6 +328,10 @@
     metrics.set_message_memory(environment_.memory->used(), environment_.memory->capacity());
     metrics.set_store_era(store_watch_->era());
     metrics.set_dropped_log_lines(environment_.log.dropped_lines());
+    const auto& traffic = peer_channel_->traffic();
+    metrics.set_peer_traffic("sent", traffic.sent, traffic.sent_bytes);
+    metrics.set_peer_traffic("dropped", traffic.dropped, traffic.dropped_bytes);
+    metrics.set_peer_traffic("received", traffic.received, traffic.received_bytes);
     for (const auto& state : environment_.admission.shedding_states(now)) {
         metrics.set_admission(state.service, state.accepted_fraction, state.limit_factor);
         metrics.set_less_urgent_weight(state.service, environment_.results.less_urgent_weight(state.service));
@@ -437,12 +441,22 @@
                            {{"upstream", record.id.value()},
                             {"service", record.service.value()},
                             {"address", record.address.value()},
-                            {"change", std::string{to_text(change)}}});
+                            {"change", std::string{to_text(change)}},
+                            {"source", std::string{source_of(record.id, change)}}});
     if (change == directory_change::draining || change == directory_change::removed) {
         environment_.connections.close_all(record.id);
     }
 }
 
+// An upstream is added and removed by its entry alone.
+std::string_view proxy_host::source_of(const kernel::upstream_name& id, directory_change change)
+{
+    if (change != directory_change::draining) {
+        return to_name(leaving_source::entry);
+    }
+    return to_name(environment_.upstreams.find(id)->left_by);
+}
+
 // Upstreams are cold in any deployment; only a limit of their requests makes it worth a line.
 void proxy_host::log_cold_change(const upstream_record& record, kernel::time_point now)
 {
--- a/libraries/proxy/proxy_host.h
+++ b/libraries/proxy/proxy_host.h
@@ -108,6 +108,8 @@
     void report_evacuations(kernel::time_point now);
     [[nodiscard]] known_data_centres data_centres(kernel::time_point now) const;
     void on_directory_change(const upstream_record& record, directory_change change);
+    /// How this host has learnt of the change.
+    [[nodiscard]] std::string_view source_of(const kernel::upstream_name& id, directory_change change);
     void log_cold_change(const upstream_record& record, kernel::time_point now);
     void on_peer_message(const kernel::result<peer_message>& received);
 
--- a/libraries/proxy/proxy_metrics.cpp
+++ b/libraries/proxy/proxy_metrics.cpp
@@ -94,6 +94,10 @@
           add_counters(*registry_, "wisterialane_handler_failures_total", "Unexpected errors of handlers").Add({})},
       dropped_log_lines_{
           add_gauge(*registry_, "wisterialane_log_lines_left_out", "Log lines left out since the start")},
+      peer_datagrams_{add_gauges(*registry_, "wisterialane_peer_datagrams",
+                                 "Datagrams exchanged with other hosts since the start, by kind")},
+      peer_bytes_{add_gauges(*registry_, "wisterialane_peer_bytes",
+                             "Bytes of the datagrams exchanged with other hosts since the start, by kind")},
       event_loop_delay_{add_histograms(*registry_, "wisterialane_event_loop_delay_seconds",
                                        "How late the event loop ran what was due")
                             .Add({}, latency_buckets())},
@@ -247,6 +251,13 @@
     dropped_log_lines_.Set(static_cast<double>(count));
 }
 
+void proxy_metrics::set_peer_traffic(std::string_view kind, std::uint64_t datagrams, std::uint64_t bytes)
+{
+    const prometheus::Labels labels{{"kind", std::string{kind}}};
+    peer_datagrams_.Add(labels).Set(static_cast<double>(datagrams));
+    peer_bytes_.Add(labels).Set(static_cast<double>(bytes));
+}
+
 void proxy_metrics::set_admission(const kernel::service_name& service, double accepted_fraction, double limit_factor)
 {
     const prometheus::Labels labels{{"service", service.value()}};
--- a/libraries/proxy/proxy_metrics.h
+++ b/libraries/proxy/proxy_metrics.h
@@ -63,6 +63,10 @@
     /// Sets the number of active hosts of this host's data centre and their remembered demand, in cores.
     void set_membership(std::size_t active_hosts, double remembered_demand);
     void set_dropped_log_lines(std::uint64_t count);
+
+    /// Datagrams of one kind that were exchanged with other hosts since the start.
+    void set_peer_traffic(std::string_view kind, std::uint64_t datagrams, std::uint64_t bytes);
+
     /// Sets the accepted fraction of a service's requests and the factor of the limit on its requests in flight.
     void set_admission(const kernel::service_name& service, double accepted_fraction, double limit_factor);
     /// Sets the part that less urgent requests of a service keep.
@@ -102,6 +106,8 @@
     prometheus::Gauge& store_era_;
     prometheus::Counter& handler_failures_;
     prometheus::Gauge& dropped_log_lines_;
+    prometheus::Family<prometheus::Gauge>& peer_datagrams_;
+    prometheus::Family<prometheus::Gauge>& peer_bytes_;
     prometheus::Histogram& event_loop_delay_;
     prometheus::Gauge& active_hosts_;
     prometheus::Gauge& remembered_demand_;
--- a/libraries/proxy/request_handler.cpp
+++ b/libraries/proxy/request_handler.cpp
@@ -356,7 +356,7 @@
 {
     if (response.status == misdirected_status) {
         environment_.connections.close_all(ended.upstream);
-        environment_.upstreams.mark_draining(ended.upstream);
+        environment_.upstreams.mark_draining(ended.upstream, leaving_source::misdirected);
         return;
     }
     if (const auto wait = read_retry_after(response.headers); wait && response.status == unavailable_status) {
--- a/libraries/proxy/upstream_directory.cpp
+++ b/libraries/proxy/upstream_directory.cpp
@@ -34,6 +34,21 @@
 
 } // namespace
 
+std::string_view to_name(leaving_source source)
+{
+    switch (source) {
+    case leaving_source::entry:
+        return "entry";
+    case leaving_source::response:
+        return "response";
+    case leaving_source::report:
+        return "report";
+    case leaving_source::misdirected:
+        break;
+    }
+    return "misdirected";
+}
+
 bool upstream_directory::store_is_stable(kernel::time_point now) const
 {
     return !last_store_failure_ || now - *last_store_failure_ > reappearance_time;
@@ -108,7 +123,7 @@
     const bool cold_changed = record_entry(upstream, record, now);
     upstream.missing = false;
     if (record.phase == upstream_phase::draining) {
-        mark_draining(record.id);
+        mark_draining(record.id, leaving_source::entry);
     }
     return !unchanged || cold_changed;
 }
@@ -137,10 +152,11 @@
     found->second.missing = true;
 }
 
-void upstream_directory::mark_draining(const kernel::upstream_name& id)
+void upstream_directory::mark_draining(const kernel::upstream_name& id, leaving_source source)
 {
     if (auto* upstream = find(id); upstream != nullptr && !upstream->draining) {
         upstream->draining = true;
+        upstream->left_by = source;
         notify_(upstream->record, directory_change::draining);
     }
 }
@@ -154,7 +170,7 @@
     }
     if (notice.leaving) {
         const bool is_news = !upstream->draining;
-        mark_draining(id);
+        mark_draining(id, leaving_source::response);
         return is_news;
     }
     const bool cold_changed = notice.cold_left && record_cold_time(*upstream, *notice.cold_left, now);
@@ -174,7 +190,7 @@
         return;
     }
     if (notice.leaving) {
-        mark_draining(id);
+        mark_draining(id, leaving_source::report);
         return;
     }
     if (notice.cold_left) {
--- a/libraries/proxy/upstream_directory.h
+++ b/libraries/proxy/upstream_directory.h
@@ -11,11 +11,26 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace wisterialane::proxy {
 
+/// How this host has learnt that an upstream is being taken out of service.
+enum class leaving_source {
+    /// Its entry in the store, read by this host or relayed.
+    entry,
+    /// One of its responses to this host.
+    response,
+    /// A report of another host.
+    report,
+    /// Another process answers at its address.
+    misdirected,
+};
+
+[[nodiscard]] std::string_view to_name(leaving_source source);
+
 /// An upstream that may receive requests, with all that this host knows about it.
 struct tracked_upstream {
     upstream_record record;
@@ -42,6 +57,8 @@
     bool missing = false;
     /// It is being taken out of service, as its entry or one of its answers says.
     bool draining = false;
+    /// Meaningless until it is draining.
+    leaving_source left_by = leaving_source::entry;
 };
 
 enum class directory_change { added, limit_changed, cold_changed, draining, removed };
@@ -76,7 +93,7 @@
     void remove(const kernel::upstream_name& id, kernel::time_point now);
 
     /// Marks an upstream that reports itself as draining, or whose address another process has taken.
-    void mark_draining(const kernel::upstream_name& id);
+    void mark_draining(const kernel::upstream_name& id, leaving_source source);
 
     /// Records what a response of the upstream says; `sent_at` is when its request was sent. Returns whether the other
     /// hosts should be told. Without effect if the upstream has started anew.
--- a/tests/proxy/test_load_balancer.cpp
+++ b/tests/proxy/test_load_balancer.cpp
@@ -93,7 +93,7 @@
 TEST_CASE_FIXTURE(balancer_fixture, "load_balancer: draining upstream: gets no requests")
 {
     add_upstreams(1);
-    directory.mark_draining(kernel::upstream_name{"here0"});
+    directory.mark_draining(kernel::upstream_name{"here0"}, leaving_source::response);
     const auto chosen = balancer.choose(request, now);
     REQUIRE_FALSE(chosen);
     CHECK(chosen.error() == selection_error::none_available);
@@ -140,7 +140,7 @@
     upstream_by_id("here0").health.record(exchange_outcome::broken, now);
     upstream_by_id("here1").in_flight.insert(now - seconds{5});
     upstream_by_id("here2").last_request_at = now - seconds{1};
-    directory.mark_draining(kernel::upstream_name{"here4"});
+    directory.mark_draining(kernel::upstream_name{"here4"}, leaving_source::response);
     results.record(request.service, request_result::served, now);
     results.record(request.service, request_result::unserved, now);
     results.record(request.service, request_result::disconnected, now);
--- a/tests/proxy/test_spillover.cpp
+++ b/tests/proxy/test_spillover.cpp
@@ -364,8 +364,8 @@
 TEST_CASE_FIXTURE(placement_fixture, "spillover: no local upstream takes requests: they leave as without a decision")
 {
     report_there(6);
-    directory.mark_draining(kernel::upstream_name{"here0"});
-    directory.mark_draining(kernel::upstream_name{"here1"});
+    directory.mark_draining(kernel::upstream_name{"here0"}, leaving_source::response);
+    directory.mark_draining(kernel::upstream_name{"here1"}, leaving_source::response);
     CHECK(send() == "there");
 }
 
--- a/tests/proxy/test_store_watch.cpp
+++ b/tests/proxy/test_store_watch.cpp
@@ -741,7 +741,7 @@
 {
     await_configuration();
     answer_upstreams(11, {}, {kernel::upstream_name{"a"}});
-    directory.mark_draining(kernel::upstream_name{"b"});
+    directory.mark_draining(kernel::upstream_name{"b"}, leaving_source::response);
     REQUIRE(directory.find(kernel::upstream_name{"a"}) == nullptr);
     restore_store();
     answer_without_change();
--- a/tests/proxy/test_upstream_notices.cpp
+++ b/tests/proxy/test_upstream_notices.cpp
@@ -114,7 +114,7 @@
                   "upstream notices: entry expires and reappears: what the process said holds, a new one starts afresh")
 {
     add_upstreams(4);
-    directory.mark_draining(kernel::upstream_name{"here0"});
+    directory.mark_draining(kernel::upstream_name{"here0"}, leaving_source::response);
     directory.close_until(kernel::upstream_name{"here1"}, 1, now + seconds{30});
     directory.record_notice(kernel::upstream_name{"here2"}, {1, false, 0.0}, now, now);
     const std::vector<upstream_record> records{make_upstream("here0"), make_upstream("here1"), make_upstream("here2"),
