Evidence between hosts: In batches, forwarded by two hosts instead of all

Cause: each failure at an upstream was a datagram of its own to all hosts of the data centre, and every active host forwarded each one from another data centre to all hosts of its own.

Change: a host sends failures together, at most one message per 0.1 s (0.25 s while its event loop is late); what an upstream says of itself goes at once. Of the active hosts two forward the reports of a host of another data centre, chosen by its name. So the number of datagrams no longer grows with failures times active hosts.

--- a/libraries/proxy/peer_directory.cpp
+++ b/libraries/proxy/peer_directory.cpp
@@ -14,6 +14,9 @@
 /// Hosts that reach the store may use this fraction of their processor time before others are named as well.
 constexpr double maximum_utilization_without_others = 0.45;
 
+/// Active hosts that forward the reports of a host of another data centre; one of them may be lost.
+constexpr std::size_t forwarding_hosts = 2;
+
 } // namespace
 
 void peer_directory::add(const host_record& record)
@@ -328,6 +331,19 @@
     return addresses;
 }
 
+bool peer_directory::forwards_for(const kernel::host_name& sender, kernel::time_point now) const
+{
+    const auto active_hosts = active_hosts_in(options_.self.data_centre, now);
+    const auto self = std::find(active_hosts.begin(), active_hosts.end(), &options_.self);
+    if (self == active_hosts.end()) {
+        return false;
+    }
+    const auto hosts = active_hosts.size();
+    const auto position = static_cast<std::size_t>(self - active_hosts.begin());
+    const auto first = static_cast<std::size_t>(rank_hash(sender) % hosts);
+    return (position + hosts - first) % hosts < forwarding_hosts;
+}
+
 std::vector<kernel::socket_address> peer_directory::data_centre_peer_addresses() const
 {
     std::vector<kernel::socket_address> addresses;
--- a/libraries/proxy/peer_directory.h
+++ b/libraries/proxy/peer_directory.h
@@ -114,6 +114,10 @@
     [[nodiscard]] std::vector<kernel::socket_address> forwarding_addresses(const kernel::host_name& source,
                                                                            kernel::time_point now) const;
 
+    /// Whether this host is one of the two active hosts that forward what a host of another data centre reports to the
+    /// hosts of this one. If all active hosts did, each standby host would receive a copy from each of them.
+    [[nodiscard]] bool forwards_for(const kernel::host_name& sender, kernel::time_point now) const;
+
     /// Peer addresses of the other hosts in this data centre.
     [[nodiscard]] std::vector<kernel::socket_address> data_centre_peer_addresses() const;
 
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -89,11 +89,19 @@
                    {}},
       peers_{{settings_.self, settings_.hosts_per_data_centre}}, load_{settings_.self.processor_cores},
       membership_report_{environment_.metrics, environment_.log}, evidence_receiver_{environment_},
-      own_evidence_{[this](auto evidence) {
-          send_evidence(peers_.recipient_addresses(environment_.clock()), std::move(evidence));
-      }},
+      own_evidence_timer_{context.get_executor()}, forwarded_evidence_timer_{context.get_executor()},
+      own_evidence_{
+          [this](auto evidence) {
+              send_evidence(peers_.recipient_addresses(environment_.clock()), std::move(evidence));
+          },
+          [this](auto delay) {
+              own_evidence_timer_.start(delay, [this] { own_evidence_.flush(environment_.clock()); });
+          }},
       forwarded_evidence_{
-          [this](auto evidence) { send_evidence(peers_.data_centre_peer_addresses(), std::move(evidence)); }},
+          [this](auto evidence) { send_evidence(peers_.data_centre_peer_addresses(), std::move(evidence)); },
+          [this](auto delay) {
+              forwarded_evidence_timer_.start(delay, [this] { forwarded_evidence_.flush(environment_.clock()); });
+          }},
       tick_timer_{context.get_executor()}, hosts_timer_{context.get_executor()},
       stop_timer_{context.get_executor()}, instance_{kernel::random_hex(instance_digits)}
 {
@@ -117,7 +125,7 @@
         // Only this outcome depends on it, and each request has an outcome.
         const bool active = evidence.outcome == exchange_outcome::timed_out && peers_.is_active(now);
         if (evidence.notice || should_share_evidence(evidence.outcome, unexpected, active)) {
-            own_evidence_.add({evidence}, environment_.loop_delay.is_late());
+            own_evidence_.add({evidence}, now, evidence_interval());
         }
     };
     environment_.report_admissions = [this] { report_admissions(); };
@@ -514,9 +522,9 @@
         }
     }
     const bool from_other_data_centre = received->sender.data_centre != settings_.self.data_centre;
-    if (from_other_data_centre && !received->evidence.empty() && peers_.is_active(now)) {
+    if (from_other_data_centre && !received->evidence.empty() && peers_.forwards_for(received->sender.host, now)) {
         // Standby hosts receive no messages from other data centres, so this active host forwards the evidence to them.
-        forwarded_evidence_.add(received->evidence, environment_.loop_delay.is_late());
+        forwarded_evidence_.add(received->evidence, now, evidence_interval());
     }
     evidence_receiver_.apply(received->sender.host, received->evidence, active_, now);
 }
@@ -758,8 +766,11 @@
 void proxy_host::give_way_if_late()
 {
     environment_.log.set_routine_paused(environment_.loop_delay.is_late());
-    own_evidence_.flush();
-    forwarded_evidence_.flush();
+}
+
+kernel::duration proxy_host::evidence_interval() const
+{
+    return environment_.loop_delay.is_late() ? tick_interval : evidence_outbox::usual_interval;
 }
 
 void proxy_host::update_own_load(kernel::time_point now)
--- a/libraries/proxy/proxy_host.h
+++ b/libraries/proxy/proxy_host.h
@@ -152,6 +152,8 @@
     void expire_requests(kernel::time_point now);
     void finish_stop(kernel::time_point now);
     void give_way_if_late();
+    /// Shortest time between two messages with evidence.
+    [[nodiscard]] kernel::duration evidence_interval() const;
     void schedule(one_shot_timer& delay_timer, std::chrono::milliseconds delay, void (proxy_host::*callback)());
 
     io_context& context_;
@@ -166,6 +168,8 @@
     membership_report membership_report_;
     std::shared_ptr<event_loop_monitor> loop_monitor_;
     evidence_receiver evidence_receiver_;
+    one_shot_timer own_evidence_timer_;
+    one_shot_timer forwarded_evidence_timer_;
     evidence_outbox own_evidence_;
     /// Evidence of other data centres for the standby hosts of this one.
     evidence_outbox forwarded_evidence_;
--- a/tests/proxy/test_late_host.cpp
+++ b/tests/proxy/test_late_host.cpp
@@ -59,30 +59,61 @@
     CHECK(late_loop_reserve(late_by(seconds{5}), seconds{4}) == seconds{1});
 }
 
-// Guards against a datagram to every host for each failure, on a host that is late already.
-TEST_CASE("evidence_outbox: event loop late: one message for many; notices and a full message at once")
+// Guards against a datagram to every host for each failure (CONFIG and DRAIN, seen on hallowmere-gw-grown): the links of
+// weak hosts were full, and what the store reader relayed was lost.
+TEST_CASE("evidence_outbox: many failures: one message per interval; notices and a full message at once")
 {
     std::vector<std::size_t> sent;
-    evidence_outbox outbox{[&sent](const auto& evidence) { sent.push_back(evidence.size()); }};
+    std::vector<kernel::duration> timers;
+    evidence_outbox outbox{[&sent](const auto& evidence) { sent.push_back(evidence.size()); },
+                           [&timers](auto delay) { timers.push_back(delay); }};
+    auto now = test_start + seconds{100};
+    const milliseconds interval{250};
     shared_evidence failure{kernel::upstream_name{"u"}, exchange_outcome::broken, 0, std::nullopt};
-    outbox.add({failure}, false);
+    outbox.add({failure}, now, interval);
     CHECK(sent == std::vector<std::size_t>{1});
-    outbox.add({failure}, true);
-    outbox.add({failure}, true);
+    now += milliseconds{50};
+    outbox.add({failure}, now, interval);
+    outbox.add({failure}, now, interval);
     CHECK(sent.size() == 1);
-    outbox.flush();
-    outbox.flush();
+    CHECK(timers == std::vector<kernel::duration>{milliseconds{200}});
+    now += milliseconds{200};
+    outbox.flush(now);
+    outbox.flush(now);
     CHECK(sent == std::vector<std::size_t>{1, 2});
     for (std::size_t count = 0; count < evidence_outbox::maximum_batch; ++count) {
-        outbox.add({failure}, true);
+        outbox.add({failure}, now, interval);
     }
     CHECK(sent == std::vector<std::size_t>{1, 2, evidence_outbox::maximum_batch});
-    outbox.add({failure}, true);
+    outbox.add({failure}, now, interval);
     failure.notice = upstream_notice{1, true, std::nullopt};
-    outbox.add({failure}, true);
+    outbox.add({failure}, now, interval);
     CHECK(sent == std::vector<std::size_t>{1, 2, evidence_outbox::maximum_batch, 2});
 }
 
+TEST_CASE("evidence_outbox: failures for one second: at most one message per usual interval, none lost")
+{
+    std::vector<kernel::time_point> sent;
+    std::size_t pieces = 0;
+    auto now = test_start + seconds{100};
+    std::optional<kernel::time_point> due;
+    evidence_outbox outbox{[&](const auto& evidence) {
+                               sent.push_back(now);
+                               pieces += evidence.size();
+                           },
+                           [&](auto delay) { due = now + delay; }};
+    for (int count = 0; count < 100; ++count, now += milliseconds{10}) {
+        if (due && now >= *due) {
+            due.reset();
+            outbox.flush(now);
+        }
+        outbox.add({{kernel::upstream_name{"u"}, exchange_outcome::broken, 0, std::nullopt}}, now);
+    }
+    outbox.flush(now);
+    CHECK(pieces == 100);
+    CHECK(sent.size() <= 11);
+}
+
 TEST_CASE_FIXTURE(host_fixture, "proxy_host: event loop late by a second, request with 1.5 s left: 503, not passed on")
 {
     auto& upstream = add_upstream("u1", respond_ok);
--- a/tests/proxy/test_peer_directory.cpp
+++ b/tests/proxy/test_peer_directory.cpp
@@ -145,6 +145,32 @@
     CHECK(hosts[1].expected_active_hosts(now) == 4);
 }
 
+// Guards against a copy from every active host for each standby host (CONFIG and DRAIN, seen on hallowmere-gw-grown): with
+// sixteen active hosts their links were full.
+TEST_CASE_FIXTURE(fleet_fixture, "peer_directory: many active hosts: two of them forward the reports of a host elsewhere")
+{
+    for (auto& state : states) {
+        state.load = 0.9;
+    }
+    exchange_states();
+    const auto forwarding = [this](std::size_t sender) {
+        return std::count_if(hosts.begin(), hosts.begin() + 4,
+                             [&](const auto& host) { return host.forwards_for(records[sender].host, now); });
+    };
+    CHECK(std::count_if(hosts.begin(), hosts.begin() + 4, [this](const auto& host) { return host.is_active(now); }) >
+          2);
+    CHECK(forwarding(4) == 2);
+    CHECK(forwarding(5) == 2);
+}
+
+TEST_CASE_FIXTURE(fleet_fixture, "peer_directory: one active host: it alone forwards reports")
+{
+    exchange_states();
+    for (std::size_t host = 0; host < 4; ++host) {
+        CHECK(hosts[host].forwards_for(records[4].host, now) == hosts[host].is_active(now));
+    }
+}
+
 TEST_CASE_FIXTURE(fleet_fixture,
                   "peer_directory: several hosts of a data centre reach the store: exactly one is its reader")
 {
