Store watch: Relayed changes of upstreams count while an own call is under way

Cause: a connection may go silent without an error. A host whose call for changes was under way dropped the changes that relays brought, and did not make up for a lost relay, until the call timed out; the store reader had no relays, and its call had 2.5 s of waiting and 1.2 s to time out. Hosts count as in touch 3 s after such an event.

Change: relayed changes are applied in any case, and a response older than them is dropped. After a gap a call that has been unanswered for 0.6 s is replaced, as it is for the configuration. The store waits for 0.9 s at most, so that the reader's call fails after 2.1 s and is made again at 2.4 s.

Cost: a store reader makes one call for changes each 1.15 s instead of each 2.75 s while nothing changes.

--- a/libraries/proxy/store_watch.cpp
+++ b/libraries/proxy/store_watch.cpp
@@ -11,10 +11,11 @@
 using kernel::line_priority;
 using milliseconds = std::chrono::milliseconds;
 
-/// Time that the store waits for a new version before it responds to a call. Each response, even without a new version,
-/// confirms the version in force.
+/// Time that the store waits for a change before it responds to a call. Each response, even without a new version,
+/// confirms the version in force. A connection may go silent without an error: such a call, the retry delay and a read
+/// must end before the hosts of a data centre have to act on the changes of that time.
 constexpr milliseconds configuration_poll_timeout{900};
-constexpr milliseconds upstreams_poll_timeout{2500};
+constexpr milliseconds upstreams_poll_timeout{900};
 /// Delay between two calls, so that one call reads changes in quick succession together.
 constexpr milliseconds upstreams_batch_delay{250};
 /// Delay after a failed call; doubles with each further failure up to the maximum. Every host calls the store while it
@@ -374,6 +375,7 @@
     }
     upstreams_timer_.cancel();
     reading_upstreams_ = true;
+    upstreams_call_sent_at_ = hooks_.clock();
     const bool complete = !upstreams_revision_;
     const auto done = [self = shared_from_this(), complete](const auto& reading) {
         self->on_upstreams(reading, complete);
@@ -421,6 +423,12 @@
     for (const auto& key : reading->unreadable_keys) {
         log_.write(now, line_priority::routine, proxy_event::upstream_entry_unreadable, {{"entry", key}});
     }
+    if (!complete && reading->metadata.revision < *upstreams_revision_) {
+        // Relays have brought later changes since the call was sent.
+        upstreams_.remove_missing(now);
+        schedule(upstreams_timer_, upstreams_batch_delay, &store_watch::watch_upstreams);
+        return;
+    }
     // A complete list is not relayed. The other hosts detect the gap at the next relay and read the store themselves.
     const auto after = complete ? reading->metadata.revision : *upstreams_revision_;
     upstreams_revision_ = reading->metadata.revision;
@@ -504,18 +512,27 @@
     else if (relay.version == hooks_.version() && relay.version.value() > 0 && relay.confirmed_at > store_time{0}) {
         freshness_.confirm(store_clock_, relay.confirmed_at);
     }
-    if (!upstreams_revision_ || reading_upstreams_ || relay.up_to <= *upstreams_revision_) {
+    apply_relayed_upstreams(relay, now);
+}
+
+// The changes count although a call of this host is under way: its connection may have gone silent.
+void store_watch::apply_relayed_upstreams(const store_relay& relay, kernel::time_point now)
+{
+    if (!upstreams_revision_ || relay.up_to <= *upstreams_revision_) {
         return;
     }
-    if (relay.after > *upstreams_revision_) {
-        // A relay was lost, so the host reads the changes itself.
-        relay_received_at_.reset();
-        upstreams_timer_.cancel();
-        watch_upstreams();
+    if (relay.after <= *upstreams_revision_) {
+        apply_changes(relay.present, relay.removed, now);
+        upstreams_revision_ = relay.up_to;
+        return;
+    }
+    // A relay was lost, so the host reads the changes itself. The store answers a call that waits for them at once,
+    // unless that call is lost as well.
+    if (reading_upstreams_ && now - upstreams_call_sent_at_ < overdue_call_time) {
         return;
     }
-    apply_changes(relay.present, relay.removed, now);
-    upstreams_revision_ = relay.up_to;
+    relay_received_at_.reset();
+    restart_upstreams_call();
 }
 
 // After a failed call the retry delay applies, no matter how many relays arrive. A pending call is replaced once for
--- a/libraries/proxy/store_watch.h
+++ b/libraries/proxy/store_watch.h
@@ -155,6 +155,7 @@
     void replace_upstreams(const std::vector<upstream_record>& present, kernel::time_point now);
     void restart_configuration_call();
     void restart_upstreams_call();
+    void apply_relayed_upstreams(const store_relay& relay, kernel::time_point now);
     void relay_changes(store_revision after, std::vector<upstream_record> present,
                        std::vector<kernel::upstream_name> removed);
     void apply_changes(const std::vector<upstream_record>& present, const std::vector<kernel::upstream_name>& removed,
@@ -178,6 +179,7 @@
     retry_backoff configuration_retry_;
     retry_backoff upstreams_retry_;
     kernel::time_point configuration_call_sent_at_{};
+    kernel::time_point upstreams_call_sent_at_{};
     /// The newest version that a relay has reported.
     kernel::version_number relayed_version_;
     /// When a relay last named a version above the one in force.
--- a/tests/proxy/test_store_watch.cpp
+++ b/tests/proxy/test_store_watch.cpp
@@ -34,9 +34,11 @@
         upstreams = std::move(done);
     }
 
-    void await_upstream_changes(store_revision, std::chrono::milliseconds, handler<upstreams_reading> done) override
+    void await_upstream_changes(store_revision, std::chrono::milliseconds wait,
+                                handler<upstreams_reading> done) override
     {
         ++change_reads;
+        upstreams_wait = wait;
         upstreams = std::move(done);
     }
 
@@ -54,6 +56,8 @@
     handler<upstreams_reading> upstreams;
     /// Time for which the store may delay its response to the last call for the configuration.
     milliseconds configuration_wait{0};
+    /// The same for the last call for changes of the upstreams.
+    milliseconds upstreams_wait{0};
     int configuration_reads = 0;
     int full_reads = 0;
     int change_reads = 0;
@@ -318,6 +322,60 @@
     CHECK(watch->remaining_relay_wait(now) == kernel::duration::zero());
 }
 
+// Guards against requests to a draining upstream (DRAIN, review case 6): the connection of a host's call for changes was
+// silent, and the host ignored what the store reader relayed until the call timed out.
+TEST_CASE_FIXTURE(watch_fixture, "store_watch: own call for changes unanswered: relayed changes are applied")
+{
+    store_reader = true;
+    watch->begin_reading();
+    REQUIRE(store.upstreams);
+    store_reader = false;
+    auto relay = make_relay(10, 12);
+    relay.present = {make_upstream("b")};
+    relay.present[0].phase = upstream_phase::draining;
+    relay.removed = {kernel::upstream_name{"a"}};
+    watch->on_relay(relay);
+    CHECK(directory.find(kernel::upstream_name{"b"})->draining);
+    CHECK(directory.find(kernel::upstream_name{"a"}) == nullptr);
+}
+
+TEST_CASE_FIXTURE(watch_fixture, "store_watch: response older than what was relayed meanwhile: is not applied")
+{
+    store_reader = true;
+    watch->begin_reading();
+    auto relay = make_relay(10, 12);
+    relay.removed = {kernel::upstream_name{"a"}};
+    watch->on_relay(relay);
+    answer_upstreams(11, {make_upstream("a")});
+    CHECK(directory.find(kernel::upstream_name{"a"}) == nullptr);
+}
+
+// Guards against requests to a draining upstream (DRAIN): a relay was lost, and so was the host's own call.
+TEST_CASE_FIXTURE(watch_fixture, "store_watch: relay after a gap, own call unanswered: a new call replaces it")
+{
+    store_reader = true;
+    watch->begin_reading();
+    store_reader = false;
+    const auto before = store.change_reads;
+    now += milliseconds{100};
+    watch->on_relay(make_relay(12, 13));
+    CHECK(store.change_reads == before);
+    now += milliseconds{600};
+    watch->on_relay(make_relay(12, 13));
+    CHECK(store.change_reads == before + 1);
+}
+
+// Guards against requests to a draining upstream (DRAIN, review case 6): a silent connection of the store reader kept its
+// whole data centre 3.7 s behind. Hosts count as in touch 3 s after such an event, the call itself has 1.2 s beside the
+// wait, and the next one follows after 0.3 s.
+TEST_CASE_FIXTURE(watch_fixture, "store_watch: call for changes: a silent connection shows within 2.5 s")
+{
+    store_reader = true;
+    watch->begin_reading();
+    REQUIRE(store.upstreams);
+    CHECK(store.upstreams_wait + milliseconds{1200 + 300} <= milliseconds{2500});
+}
+
 // Guards against full reads by all hosts while their calls to the store fail but the store reader still sends relays.
 TEST_CASE_FIXTURE(watch_fixture, "store_watch: local call fails: relays are still applied and no full read follows")
 {
