Upstream exchange: An upstream that leaves while its connection is opened gets nothing

Change: when the connection is open, the directory is asked whether that process of the upstream still takes work. If not, nothing is sent, the attempt counts neither as evidence nor against the retry budget, and the request goes to another upstream, or ends as not run.

Measured: both new tests fail without the check (the leaving upstream gets the request) and pass with it.

--- a/libraries/proxy/attempt_plan.cpp
+++ b/libraries/proxy/attempt_plan.cpp
@@ -17,6 +17,9 @@
 void attempt_plan::record_end(exchange_end end, bool not_executed)
 {
     --open_attempts_;
+    if (end == exchange_end::withdrawn) {
+        return;
+    }
     if (end == exchange_end::not_connected) {
         ++connect_failures_;
         return;
--- a/libraries/proxy/request_handler.cpp
+++ b/libraries/proxy/request_handler.cpp
@@ -197,6 +197,8 @@
     request.body = exchange_->request().body();
     request.head = head_for_upstream(exchange_->request(), environment_.names,
                                      {chosen.record.id, remaining, context_.customer_name()});
+    request.may_send = [&upstreams = environment_.upstreams, id = chosen.record.id,
+                        started_at_ms = chosen.record.started_at_ms] { return upstreams.takes_work(id, started_at_ms); };
     attempt next{chosen.record.id,
                  std::make_shared<upstream_exchange>(environment_.context, environment_.connections, environment_.names,
                                                      *environment_.memory, environment_.clock),
@@ -260,7 +262,7 @@
     }
     record_result(ended, outcome, result, now);
     const bool not_executed =
-        result.end == exchange_end::not_connected ||
+        result.end == exchange_end::not_connected || result.end == exchange_end::withdrawn ||
         (result.end == exchange_end::response_received && is_unexecuted_refusal(result.response, environment_.names));
     plan_.record_end(result.end, not_executed);
     respond_or_retry(outcome, std::move(result), now);
@@ -272,6 +274,8 @@
     switch (result.end) {
     case exchange_end::not_connected:
         return exchange_outcome::connect_failed;
+    case exchange_end::withdrawn:
+        return exchange_outcome::neutral;
     case exchange_end::closed:
     case exchange_end::invalid_response:
         return exchange_outcome::broken;
--- a/libraries/proxy/upstream_directory.cpp
+++ b/libraries/proxy/upstream_directory.cpp
@@ -309,6 +309,12 @@
     return found == upstreams_.end() ? nullptr : &found->second;
 }
 
+bool upstream_directory::takes_work(const kernel::upstream_name& id, std::int64_t started_at_ms) const
+{
+    const auto found = upstreams_.find(id);
+    return found != upstreams_.end() && found->second.record.started_at_ms == started_at_ms && !found->second.draining;
+}
+
 const std::vector<tracked_upstream*>& upstream_directory::of_service(const kernel::service_name& service) const
 {
     static const std::vector<tracked_upstream*> none;
--- a/libraries/proxy/upstream_exchange.cpp
+++ b/libraries/proxy/upstream_exchange.cpp
@@ -77,6 +77,8 @@
         return "answered";
     case exchange_end::not_connected:
         return "not_connected";
+    case exchange_end::withdrawn:
+        return "withdrawn";
     case exchange_end::closed:
         return "closed";
     case exchange_end::invalid_response:
@@ -115,6 +117,10 @@
             self->finish(exchange_end::not_connected);
             return;
         }
+        if (!self->request_.may_send()) {
+            self->finish(exchange_end::withdrawn);
+            return;
+        }
         self->send();
     });
 }
--- a/libraries/proxy/upstream_exchange.h
+++ b/libraries/proxy/upstream_exchange.h
@@ -21,6 +21,8 @@
     response_received,
     /// No connection was opened, so nothing was sent.
     not_connected,
+    /// The upstream has left while the connection was opened, so nothing was sent.
+    withdrawn,
     /// The connection closed before a response began; the request may have run.
     closed,
     /// The upstream sent bytes that are no complete response to this request; it may have run.
@@ -57,6 +59,8 @@
     std::chrono::milliseconds connect_timeout{500};
     /// Time until the request's deadline.
     std::chrono::milliseconds time_left{1000};
+    /// Whether the upstream still takes the request. Asked when its connection has been opened.
+    std::function<bool()> may_send = [] { return true; };
 };
 
 /// Sends one request to one upstream and reads the response that carries the request's id. Memory for the response is
--- a/tests/proxy/test_proxy_host.cpp
+++ b/tests/proxy/test_proxy_host.cpp
@@ -130,6 +130,51 @@
     CHECK(call(get_request("r2"))->body == "first");
 }
 
+// Guards against a request that reaches an upstream after its host has learnt that it leaves (DRAIN): nothing was checked
+// between the choice of the upstream and the end of its connect, which may take 0.4 s.
+TEST_CASE_FIXTURE(host_fixture, "proxy_host: upstream leaves while the connection to it is opened: gets no request")
+{
+    auto& leaving = add_upstream("u1", respond_with("ok"));
+    start();
+    const auto caller = send(post_request("r1", "body"));
+    auto& known = *host->environment().upstreams.find(kernel::upstream_name{"u1"});
+    while (known.in_flight.empty()) {
+        context.run_one();
+    }
+    host->environment().upstreams.mark_draining(kernel::upstream_name{"u1"}, leaving_source::report);
+    run_until([&caller] { return caller->done; });
+    CHECK(leaving.received.empty());
+    CHECK(caller->status == 503);
+}
+
+TEST_CASE_FIXTURE(host_fixture,
+                  "proxy_host: upstream is removed while the connection to it is opened: another one serves the request")
+{
+    add_upstream("u1", respond_with("ok"));
+    add_upstream("u2", respond_with("ok"));
+    start();
+    const auto caller = send(post_request("r1", "body"));
+    auto& directory = host->environment().upstreams;
+    const auto chosen = [&directory] {
+        const auto& all = directory.all();
+        const auto found = std::find_if(all.begin(), all.end(),
+                                        [](const auto& entry) { return !entry.second.in_flight.empty(); });
+        return found == all.end() ? kernel::upstream_name{} : found->first;
+    };
+    while (chosen().value().empty()) {
+        context.run_one();
+    }
+    const auto removed = chosen();
+    std::erase_if(store.upstreams, [&removed](const auto& record) { return record.id == removed; });
+    directory.remove(removed, kernel::boot_clock::now());
+    run_until([&caller] { return caller->done; });
+    CHECK(caller->status == 200);
+    CHECK(received_count() == 1);
+    for (const auto& upstream : upstreams) {
+        CHECK(upstream.received.empty() == (upstream.record().id == removed));
+    }
+}
+
 // Guards against upstreams that keep working for callers that have disconnected.
 TEST_CASE_FIXTURE(host_fixture, "proxy_host: caller disconnects: the upstream's connection is closed at once")
 {
