Upstream health: Early trials are repeatable requests only

Cause: with early trials of requests that must not be repeated, while a service is strained, callers paid for each failed one.

The test of the floor passes with repeatable trials alone.

--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -220,8 +220,7 @@
 }
 
 // An upstream that fails a part of its requests answers others, and must not be left without work. So its trials begin
-// early, with requests whose callers another upstream can serve, or with any while callers go unserved. One that fails
-// each trial is tried less often.
+// early, with requests whose callers another upstream can serve. One that fails each trial is tried less often.
 //
 // One trial serves all hosts, which report its result to each other, so they take turns: the first one as soon as the
 // upstream may be tried, each further one some time later. The order changes with each ejection, so that a host that
@@ -229,9 +228,11 @@
 bool load_balancer::may_be_tried(const tracked_upstream& upstream, bool released,
                                  const selection_state& selection) const
 {
-    const bool repeatable = selection.is_repeatable_trial();
-    const bool early = upstream.health.may_be_tried_early() && (repeatable || selection.strained);
-    const auto delay = released || early ? minimum_ejection_time : (repeatable ? repeatable_trial_delay : trial_delay);
+    const bool early = upstream.health.may_be_tried_early();
+    auto delay = released ? minimum_ejection_time : trial_delay;
+    if (selection.is_repeatable_trial()) {
+        delay = std::min(delay, early ? early_trial_delay : repeatable_trial_delay);
+    }
     const auto turn = selection.now - upstream.health.suspected_since() - delay;
     if (turn < kernel::duration::zero()) {
         return false;
--- a/libraries/proxy/upstream_health.cpp
+++ b/libraries/proxy/upstream_health.cpp
@@ -175,7 +175,7 @@
     }
     suspicion_ = std::clamp(suspicion(now) + weight_of(outcome), 0.0, maximum_suspicion);
     updated_ = now;
-    const bool had_trial = suspected_ && now - suspected_since_ >= minimum_ejection_time;
+    const bool had_trial = suspected_ && now - suspected_since_ >= early_trial_delay;
     if (outcome == exchange_outcome::good) {
         if (had_trial) {
             end_ejection();
--- a/libraries/proxy/upstream_health.h
+++ b/libraries/proxy/upstream_health.h
@@ -39,14 +39,16 @@
 /// hosts.
 [[nodiscard]] bool should_share_evidence(exchange_outcome outcome, bool unexpected, bool is_active_host);
 
-/// A suspected upstream gets no requests for at least this time. Upstreams that answer most requests must not go without
-/// one for two seconds, so this time and the turns of a few hosts fit into these.
-inline constexpr kernel::duration minimum_ejection_time = std::chrono::milliseconds{1200};
+/// Time from the ejection until a repeatable request may be the trial: if it fails, its caller is served by another
+/// upstream. An upstream that answers most requests must not go without one for two seconds, so this time and the turns
+/// of a few hosts fit into these.
+inline constexpr kernel::duration early_trial_delay = std::chrono::milliseconds{1200};
 /// Failed trials in a row after which an upstream counts as one that fails all requests.
 inline constexpr std::size_t maximum_early_trials = 2;
-/// Time from the ejection of an upstream that fails all requests until a repeatable request may be the trial: if it
-/// fails, its caller is served by another upstream.
+/// The same time for an upstream that fails all requests.
 inline constexpr kernel::duration repeatable_trial_delay = std::chrono::milliseconds{3000};
+/// Time from the ejection until any request may be the trial, if too many upstreams of the service are ejected.
+inline constexpr kernel::duration minimum_ejection_time = std::chrono::milliseconds{1500};
 /// Time from the ejection until any request may be the trial. An upstream that has recovered must not go without a
 /// request for long, so this time does not grow with the number of failed trials.
 inline constexpr kernel::duration trial_delay = std::chrono::milliseconds{4000};
