Store relays: A reader's stable store makes removals count at hosts that it refuses

Hosts marked the upstreams that their readers had seen removed at 7.1 to 9.6 s as missing, kept them as a last resort until 14.4 to 14.5 s, and count as in touch again from 14.5 s on: a rest of 20 to 70 ms before DRAIN.

Cause: whether a missing entry may reappear was judged by the host's own failed calls, although the relays of a reader without failures showed that the store had been available.

Change: a relay says whether the reader's calls for the upstreams have all been answered for longer than entries take to reappear. Then what it removes is gone, and so is what was missing. A reader that has only just begun to read does not say so.

Measured: the new test of removals fails on the code before and passes (there the field does not exist; the removal is kept as missing).

--- a/libraries/proxy/peer_message.cpp
+++ b/libraries/proxy/peer_message.cpp
@@ -179,6 +179,9 @@
     if (relay.document_sent) {
         document["document"] = true;
     }
+    if (relay.store_is_stable) {
+        document["stable"] = true;
+    }
     return document;
 }
 
@@ -209,6 +212,10 @@
     if (const auto document = from.find("document"); document != from.end()) {
         relay.document_sent = document->get<bool>();
     }
+    // Hosts of an earlier release do not say it.
+    if (const auto stable = from.find("stable"); stable != from.end()) {
+        relay.store_is_stable = stable->get<bool>();
+    }
     return relay;
 }
 
--- a/libraries/proxy/store_relay.h
+++ b/libraries/proxy/store_relay.h
@@ -29,6 +29,8 @@
     store_era era{};
     /// Whether the store reader has also sent the parts of the configuration document of `version`.
     bool document_sent = false;
+    /// Whether the store reader's calls have succeeded for so long that entries which are missing now do not reappear.
+    bool store_is_stable = false;
 };
 
 } // namespace wisterialane::proxy
--- a/libraries/proxy/store_watch.cpp
+++ b/libraries/proxy/store_watch.cpp
@@ -370,6 +370,7 @@
 {
     schedule(upstreams_timer_, maximum_upstreams_retry_delay, &store_watch::watch_upstreams);
     if (const auto wait = remaining_relay_wait(hooks_.clock()); wait > kernel::duration::zero()) {
+        upstreams_answered_since_.reset();
         schedule(upstreams_timer_, std::chrono::ceil<milliseconds>(wait), &store_watch::watch_upstreams);
         return;
     }
@@ -397,6 +398,7 @@
     const auto now = hooks_.clock();
     if (!reading) {
         record_failure(upstreams_call, reading.error());
+        upstreams_answered_since_.reset();
         if (!reading.error().is(proxy_event::store_history_lost)) {
             upstreams_.record_store_failure(now);
         }
@@ -412,6 +414,7 @@
         return;
     }
     record_success(upstreams_call, reading->metadata);
+    upstreams_answered_since_ = upstreams_answered_since_.value_or(now);
     upstreams_retry_.reset();
     if (era == era_check::entered) {
         restart_configuration_call();
@@ -482,6 +485,8 @@
     if (const auto& state = evacuations_.state(); state && state->position.era == relay.era) {
         relay.evacuated = state;
     }
+    relay.store_is_stable =
+        upstreams_answered_since_ && hooks_.clock() - *upstreams_answered_since_ > reappearance_time;
     hooks_.relay(std::move(relay));
 }
 
@@ -518,12 +523,19 @@
 // The changes count although a call of this host is under way: its connection may have gone silent.
 void store_watch::apply_relayed_upstreams(const store_relay& relay, kernel::time_point now)
 {
-    if (!upstreams_revision_ || relay.up_to <= *upstreams_revision_) {
+    if (!upstreams_revision_) {
         return;
     }
     if (relay.after <= *upstreams_revision_) {
-        apply_changes(relay.present, relay.removed, now);
-        upstreams_revision_ = relay.up_to;
+        // The calls of this host may fail although the store is available to others.
+        if (relay.store_is_stable) {
+            upstreams_.record_store_stable();
+            upstreams_.remove_missing(now);
+        }
+        if (relay.up_to > *upstreams_revision_) {
+            apply_changes(relay.present, relay.removed, now);
+            upstreams_revision_ = relay.up_to;
+        }
         return;
     }
     // A relay was lost, so the host reads the changes itself. The store answers a call that waits for them at once,
--- a/libraries/proxy/store_watch.h
+++ b/libraries/proxy/store_watch.h
@@ -197,6 +197,8 @@
     bool awaiting_document_ = false;
     std::optional<store_revision> configuration_revision_;
     std::optional<store_revision> upstreams_revision_;
+    /// Since when each call for the upstreams has been answered; empty while this host relies on relays.
+    std::optional<kernel::time_point> upstreams_answered_since_;
     std::optional<kernel::time_point> failing_since_;
     std::optional<kernel::time_point> last_success_at_;
     std::optional<kernel::time_point> relay_received_at_;
--- a/libraries/proxy/upstream_directory.cpp
+++ b/libraries/proxy/upstream_directory.cpp
@@ -7,9 +7,6 @@
 namespace wisterialane::proxy {
 namespace {
 
-/// Entries that expired while the store was unavailable reappear within this time after the outage.
-constexpr kernel::duration reappearance_time = std::chrono::milliseconds{2200};
-
 /// Bounds of the time in which a host uses each upstream of a service once, as assumed for a new upstream.
 constexpr kernel::duration shortest_cycle = std::chrono::milliseconds{10};
 constexpr kernel::duration longest_cycle = std::chrono::seconds{30};
--- a/libraries/proxy/upstream_directory.h
+++ b/libraries/proxy/upstream_directory.h
@@ -17,6 +17,9 @@
 
 namespace wisterialane::proxy {
 
+/// Entries that expired while the store was unavailable reappear within this time after the outage.
+inline constexpr kernel::duration reappearance_time = std::chrono::milliseconds{2200};
+
 /// How this host has learnt that an upstream is being taken out of service.
 enum class leaving_source {
     /// Its entry in the store, read by this host or relayed.
@@ -118,6 +121,9 @@
 
     void record_store_failure(kernel::time_point now) { last_store_failure_ = now; }
 
+    /// Records that the store has been available to another host all the while.
+    void record_store_stable() { last_store_failure_.reset(); }
+
     /// Removes missing entries that had time to reappear. Called after each successful read by this host or by the
     /// store reader of its data centre, even if nothing changed.
     void remove_missing(kernel::time_point now);
--- a/tests/proxy/test_store_watch.cpp
+++ b/tests/proxy/test_store_watch.cpp
@@ -272,6 +272,53 @@
     CHECK(directory.find(kernel::upstream_name{"a"}) == nullptr);
 }
 
+// Guards against requests to an upstream that is gone (DRAIN, trouble-1 of hallowmere-gw-grown): a third of the hosts were
+// refused by the store, which served the others, and kept what these had seen removed for 7 s.
+TEST_CASE_FIXTURE(watch_fixture, "store_watch: own calls fail, the store is stable for the reader: removals count at once")
+{
+    directory.record_store_failure(now);
+    auto relay = make_relay(10, 12);
+    relay.removed = {kernel::upstream_name{"a"}};
+    relay.store_is_stable = true;
+    watch->on_relay(relay);
+    CHECK(directory.find(kernel::upstream_name{"a"}) == nullptr);
+    directory.record_store_failure(now);
+    directory.remove(kernel::upstream_name{"b"}, now);
+    REQUIRE(directory.find(kernel::upstream_name{"b"}) != nullptr);
+    watch->on_relay(relay);
+    CHECK(directory.find(kernel::upstream_name{"b"}) == nullptr);
+}
+
+TEST_CASE_FIXTURE(watch_fixture, "store_watch: relays say that the store is stable after 2.2 s of answered calls")
+{
+    store_reader = true;
+    watch->begin_reading();
+    relayed.clear();
+    answer_upstreams(11, {make_upstream("a")});
+    REQUIRE(relayed.size() == 1);
+    CHECK_FALSE(relayed[0].store_is_stable);
+    run_until([this] { return static_cast<bool>(store.upstreams); });
+    now += milliseconds{2300};
+    answer_upstreams(12, {make_upstream("a")});
+    REQUIRE(relayed.size() == 2);
+    CHECK(relayed[1].store_is_stable);
+    run_until([this] { return static_cast<bool>(store.upstreams); });
+    std::exchange(store.upstreams, nullptr)(kernel::fail(proxy_event::store_unreachable));
+    run_until([this] { return static_cast<bool>(store.upstreams); });
+    answer_upstreams(13, {make_upstream("a")});
+    REQUIRE(relayed.size() == 3);
+    CHECK_FALSE(relayed[2].store_is_stable);
+}
+
+TEST_CASE_FIXTURE(watch_fixture, "store_watch: the reader's calls have failed as well: missing entries may reappear")
+{
+    directory.record_store_failure(now);
+    auto relay = make_relay(10, 12);
+    relay.removed = {kernel::upstream_name{"a"}};
+    watch->on_relay(relay);
+    CHECK(directory.find(kernel::upstream_name{"a"}) != nullptr);
+}
+
 // Guards against a revoked key that is accepted because a delayed relay looks fresh.
 TEST_CASE_FIXTURE(watch_fixture, "store_watch: delayed relay: confirms the version only for the time of the read")
 {
