Upstream directory: A report that an upstream leaves counts before its entry is read

Relays and reports are separate datagrams, so the report may come first; the entry then said that the upstream is ready (DRAIN). Change: the report is kept, for that process alone.

--- a/libraries/proxy/upstream_directory.cpp
+++ b/libraries/proxy/upstream_directory.cpp
@@ -122,6 +122,10 @@
     if (record.phase == upstream_phase::draining) {
         mark_draining(record.id, leaving_source::entry);
     }
+    const auto reported = reported_leaving_.find(record.id);
+    if (reported != reported_leaving_.end() && reported->second == record.started_at_ms) {
+        mark_draining(record.id, leaving_source::report);
+    }
     return !unchanged || cold_changed;
 }
 
@@ -184,6 +188,7 @@
 {
     auto* upstream = find_process(id, notice.started_at_ms);
     if (upstream == nullptr) {
+        remember_leaving(id, notice);
         return;
     }
     if (notice.leaving) {
@@ -196,6 +201,19 @@
     upstream->rate_limit.record_report(notice.rate_limit, now);
 }
 
+// The report may come before the entry of the process, which then says that it is ready.
+void upstream_directory::remember_leaving(const kernel::upstream_name& id, const upstream_notice& notice)
+{
+    if (!notice.leaving) {
+        return;
+    }
+    auto& started_at_ms = reported_leaving_[id];
+    started_at_ms = std::max(started_at_ms, notice.started_at_ms);
+    if (reported_leaving_.size() > maximum_removed_upstreams) {
+        reported_leaving_.erase(reported_leaving_.begin());
+    }
+}
+
 // Returns whether the upstream has become cold or warm, or the end of its cold time has moved.
 bool upstream_directory::record_cold_time(tracked_upstream& upstream, std::chrono::milliseconds left,
                                           kernel::time_point now)
--- a/libraries/proxy/upstream_directory.h
+++ b/libraries/proxy/upstream_directory.h
@@ -145,6 +145,7 @@
     [[nodiscard]] bool has_left(const upstream_record& record) const;
     [[nodiscard]] bool is_of_copy_only(const upstream_record& record) const;
     [[nodiscard]] bool store_is_stable(kernel::time_point now) const;
+    void remember_leaving(const kernel::upstream_name& id, const upstream_notice& notice);
     void erase(const kernel::upstream_name& id);
     [[nodiscard]] tracked_upstream take_removed(const upstream_record& record);
     void add_to_index(tracked_upstream& upstream);
@@ -158,6 +159,8 @@
     std::map<kernel::upstream_name, tracked_upstream> removed_;
     /// Start of the processes that have left although an older copy of the store lists them, by their upstream.
     std::map<kernel::upstream_name, std::int64_t> listed_by_copy_;
+    /// Start of the processes that leave, by the reports of other hosts, although this host has not read their entry.
+    std::map<kernel::upstream_name, std::int64_t> reported_leaving_;
     /// Points into `upstreams_`; sorted by id.
     std::unordered_map<kernel::service_name, std::vector<tracked_upstream*>> by_service_;
     std::optional<kernel::time_point> last_store_failure_;
