--- a/libraries/proxy/proxy_host.h
+++ b/libraries/proxy/proxy_host.h
@@ -84,6 +84,8 @@
 
     [[nodiscard]] request_environment& environment() { return environment_; }
 
+    [[nodiscard]] const peer_directory& peers() const { return peers_; }
+
 private:
     void handle_safely(const std::shared_ptr<caller_exchange>& exchange,
                        void (proxy_host::*handler)(const std::shared_ptr<caller_exchange>&));
--- a/tests/proxy/test_late_host.cpp
+++ b/tests/proxy/test_late_host.cpp
@@ -2,9 +2,12 @@
 #include "libraries/proxy/membership/evidence_outbox.h"
 #include "tests/proxy/host_fixture.h"
 #include "tests/proxy/proxy_fixture.h"
+#include "tests/support/loopback.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -114,6 +117,41 @@
     CHECK(sent.size() <= 11);
 }
 
+// Guards against the same on a whole host, and against a failure that is not reported.
+TEST_CASE_FIXTURE(host_fixture, "proxy_host: forty upstreams fail within a second: few messages report them all")
+{
+    for (int count = 0; count < 40; ++count) {
+        add_upstream("u" + std::to_string(count), [](const auto&) { return scripted_response{{}, true}; });
+    }
+    start();
+    std::size_t messages = 0;
+    std::set<kernel::upstream_name> reported;
+    const auto other = std::make_shared<peer_channel>(context, [&](const kernel::result<peer_message>& received) {
+        messages += received && !received->evidence.empty() ? 1 : 0;
+        for (const auto& each : received->evidence) {
+            reported.insert(each.upstream);
+        }
+    });
+    const auto address = test_support::free_loopback_address();
+    REQUIRE(other->open(*parse_endpoint(address)));
+    peer_message hello;
+    hello.sender = settings.self;
+    hello.sender.host = kernel::host_name{"host-2"};
+    hello.sender.peer_address = address;
+    hello.state.instance = kernel::instance_id{"1"};
+    other->send(hello, {settings.self.peer_address});
+    run_until([this] { return host->peers().peers().size() == 1; });
+    const auto begin = std::chrono::steady_clock::now();
+    for (int count = 0; count < 40; ++count) {
+        call(post_request("r" + std::to_string(count), "body " + std::to_string(count)));
+    }
+    const auto elapsed = std::chrono::steady_clock::now() - begin;
+    run_until([&] { return reported.size() == received_count() || messages >= 40; });
+    CHECK(reported.size() > 30);
+    // One more, and full ones beside those of each interval.
+    CHECK(messages <= 2 + elapsed / evidence_outbox::usual_interval + reported.size() / evidence_outbox::maximum_batch);
+}
+
 TEST_CASE_FIXTURE(host_fixture, "proxy_host: event loop late by a second, request with 1.5 s left: 503, not passed on")
 {
     auto& upstream = add_upstream("u1", respond_ok);
