Upstream health: Early trials are taken back

Upstreams that lose answers are in disruption by the rule. Their test and the metric of the longest ejection go with them.

--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -210,29 +210,20 @@
         summary.slow += is_slow(*upstream, mean_latency, now) ? 1 : 0;
         summary.recently_used += now - upstream->last_request_at < recent_use_window ? 1 : 0;
         summary.in_flight += upstream->in_flight.size();
-        if (upstream->health.is_ejected() && upstream->health.may_be_tried_early()) {
-            summary.longest_ejection = std::max(summary.longest_ejection, now - upstream->health.suspected_since());
-        }
     }
     summary.results = results_.local_counts(service, now);
     summary.strained = results_.is_strained(service, now);
     return summary;
 }
 
-// An upstream that fails a part of its requests answers others, and must not be left without work. So its trials begin
-// early, with requests whose callers another upstream can serve. One that fails each trial is tried less often.
-//
 // One trial serves all hosts, which report its result to each other, so they take turns: the first one as soon as the
 // upstream may be tried, each further one some time later. The order changes with each ejection, so that a host that
 // cannot reach the upstream is not always the first. Standby hosts come last.
 bool load_balancer::may_be_tried(const tracked_upstream& upstream, bool released,
                                  const selection_state& selection) const
 {
-    const bool early = upstream.health.may_be_tried_early();
-    auto delay = released ? minimum_ejection_time : trial_delay;
-    if (selection.is_repeatable_trial()) {
-        delay = std::min(delay, early ? early_trial_delay : repeatable_trial_delay);
-    }
+    const auto delay =
+        released ? minimum_ejection_time : (selection.is_repeatable_trial() ? repeatable_trial_delay : trial_delay);
     const auto turn = selection.now - upstream.health.suspected_since() - delay;
     if (turn < kernel::duration::zero()) {
         return false;
@@ -403,7 +394,7 @@
     // that the trusted upstreams also receive requests.
     const bool may_be_trial = selection.is_repeatable_trial() && ++trial_candidates_ % 2 == 0;
     if (may_be_trial && !candidates.on_trial.empty()) {
-        return ejected_longest(candidates.on_trial);
+        return cheapest(candidates.on_trial);
     }
     const auto& decision = spillover_.decide(
         request.service, [&] { return healthy_slots(request.service, now); }, now);
@@ -425,16 +416,6 @@
     return tl::unexpected{selection_error::none_available};
 }
 
-// Hosts with few requests cannot try all upstreams in time, so those that have waited longest come first.
-tracked_upstream* load_balancer::ejected_longest(const std::vector<candidate>& candidates)
-{
-    const auto found =
-        std::min_element(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) {
-            return left.upstream->health.suspected_since() < right.upstream->health.suspected_since();
-        });
-    return found == candidates.end() ? nullptr : found->upstream;
-}
-
 tracked_upstream* load_balancer::least_suspected(const std::vector<candidate>& candidates, kernel::time_point now)
 {
     const auto found =
--- a/libraries/proxy/load_balancer.h
+++ b/libraries/proxy/load_balancer.h
@@ -61,8 +61,6 @@
     std::size_t recently_used = 0;
     /// Requests of this host in flight at the service's upstreams.
     std::size_t in_flight = 0;
-    /// Longest time since the ejection, or the last trial, of an upstream that may answer most requests.
-    kernel::duration longest_ejection{};
     result_counts results;
     /// So many requests of the service are unserved that all upstreams that may be healthy are needed.
     bool strained = false;
@@ -173,7 +171,6 @@
                                            kernel::duration mean_latency, kernel::time_point now) const;
     [[nodiscard]] static std::set<kernel::upstream_name>
     released_early(const std::vector<tracked_upstream*>& upstreams, double ejected_fraction, kernel::time_point now);
-    [[nodiscard]] static tracked_upstream* ejected_longest(const std::vector<candidate>& candidates);
     [[nodiscard]] static tracked_upstream* least_suspected(const std::vector<candidate>& candidates,
                                                            kernel::time_point now);
     [[nodiscard]] double cost_of(const tracked_upstream& upstream, const selection_state& selection) const;
--- a/libraries/proxy/proxy_host.cpp
+++ b/libraries/proxy/proxy_host.cpp
@@ -340,9 +340,6 @@
     metrics.set_peer_traffic("sent", traffic.sent, traffic.sent_bytes);
     metrics.set_peer_traffic("dropped", traffic.dropped, traffic.dropped_bytes);
     metrics.set_peer_traffic("received", traffic.received, traffic.received_bytes);
-    for (const auto& [service, queue] : environment_.queues) {
-        metrics.set_longest_ejection(service, environment_.balancer.summarize(service, now).longest_ejection);
-    }
     for (const auto& state : environment_.admission.shedding_states(now)) {
         metrics.set_admission(state.service, state.accepted_fraction, state.limit_factor);
         metrics.set_less_urgent_weight(state.service, environment_.results.less_urgent_weight(state.service));
@@ -676,7 +673,6 @@
              {"slow", std::to_string(summary.slow)},
              {"used", std::to_string(summary.recently_used)},
              {"in_flight", std::to_string(summary.in_flight)},
-             {"longest_ejection_ms", kernel::to_milliseconds_text(summary.longest_ejection)},
              {"latency_ms", kernel::to_milliseconds_text(environment_.balancer.service_latency(service))}});
     }
 }
--- a/libraries/proxy/proxy_metrics.cpp
+++ b/libraries/proxy/proxy_metrics.cpp
@@ -60,8 +60,6 @@
                                     "Time that pipelined requests waited for earlier ones of their connection")
                          .Add({}, latency_buckets())},
       upstreams_{add_gauges(*registry_, "wisterialane_upstreams", "Upstreams by state")},
-      longest_ejections_{add_gauges(*registry_, "wisterialane_longest_ejection_seconds",
-                                    "Longest time without a trial among a service's upstreams that may be healthy")},
       cold_upstreams_{add_gauge(*registry_, "wisterialane_upstreams_cold", "Upstreams that are cold")},
       leaving_shares_{add_gauges(*registry_, "wisterialane_spillover_share",
                                  "Share of a service's requests that leaves the data centre, by destination")},
@@ -260,11 +258,6 @@
     peer_bytes_.Add(labels).Set(static_cast<double>(bytes));
 }
 
-void proxy_metrics::set_longest_ejection(const kernel::service_name& service, kernel::duration ejected)
-{
-    longest_ejections_.Add({{"service", service.value()}}).Set(seconds{ejected}.count());
-}
-
 void proxy_metrics::set_admission(const kernel::service_name& service, double accepted_fraction, double limit_factor)
 {
     const prometheus::Labels labels{{"service", service.value()}};
--- a/libraries/proxy/proxy_metrics.h
+++ b/libraries/proxy/proxy_metrics.h
@@ -66,9 +66,6 @@
 
     /// Datagrams of one kind that were exchanged with other hosts since the start.
     void set_peer_traffic(std::string_view kind, std::uint64_t datagrams, std::uint64_t bytes);
-
-    /// Longest time without a trial among the ejected upstreams of a service that may answer most requests.
-    void set_longest_ejection(const kernel::service_name& service, kernel::duration ejected);
     /// Sets the accepted fraction of a service's requests and the factor of the limit on its requests in flight.
     void set_admission(const kernel::service_name& service, double accepted_fraction, double limit_factor);
     /// Sets the part that less urgent requests of a service keep.
@@ -89,7 +86,6 @@
     prometheus::Histogram& queue_time_;
     prometheus::Histogram& pipeline_wait_;
     prometheus::Family<prometheus::Gauge>& upstreams_;
-    prometheus::Family<prometheus::Gauge>& longest_ejections_;
     prometheus::Gauge& cold_upstreams_;
     prometheus::Family<prometheus::Gauge>& leaving_shares_;
     prometheus::Family<prometheus::Gauge>& demand_slots_;
