--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -28,8 +28,6 @@
 constexpr double maximum_ejected_fraction = 0.45;
 /// The same limit while callers are unserved: then every upstream that may be healthy is needed.
 constexpr double strained_maximum_ejected_fraction = 0.3;
-/// While more than this fraction of a service's upstreams is suspected, the others may be few, and all are tried early.
-constexpr double many_suspected_fraction = 1.0 / 3;
 /// Time between the hosts' turns to try a suspected upstream. If the first host sends no request or gets no response in
 /// this time, the next one may try as well.
 constexpr std::chrono::milliseconds trial_turn_time{250};
@@ -248,7 +246,7 @@
     const auto suspected = std::count_if(upstreams.begin(), upstreams.end(), [now](const auto* upstream) {
         return upstream->health.is_ejected() || upstream->health.state(now) == trust::suspected;
     });
-    return static_cast<double>(suspected) > many_suspected_fraction * static_cast<double>(upstreams.size());
+    return static_cast<double>(suspected) > maximum_ejected_fraction * static_cast<double>(upstreams.size());
 }
 
 std::optional<active_position> load_balancer::place_for(const tracked_upstream& upstream, std::uint64_t seed) const
