--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -28,6 +28,8 @@
 constexpr double maximum_ejected_fraction = 0.45;
 /// The same limit while callers are unserved: then every upstream that may be healthy is needed.
 constexpr double strained_maximum_ejected_fraction = 0.3;
+/// Turns after which a standby host may try a suspected upstream with a request that must not be repeated.
+constexpr std::int64_t standby_turn = 8;
 /// Time between the hosts' turns to try a suspected upstream. If the first host sends no request or gets no response in
 /// this time, the next one may try as well.
 constexpr std::chrono::milliseconds trial_turn_time{250};
@@ -237,8 +239,18 @@
     if (turn < kernel::duration::zero()) {
         return false;
     }
-    const auto before = serving_order_.turns_before(upstream.record, upstream.health.ejections(), selection.now);
-    return turn >= static_cast<std::int64_t>(before) * trial_turn_time;
+    return turn >= turns_before(upstream, selection) * trial_turn_time;
+}
+
+// A failed trial that must not be repeated costs its caller, so the hosts with requests do not hurry to make it.
+std::int64_t load_balancer::turns_before(const tracked_upstream& upstream, const selection_state& selection)
+{
+    const auto ejections = upstream.health.ejections();
+    if (selection.is_repeatable_trial()) {
+        return static_cast<std::int64_t>(serving_order_.turns_before(upstream.record, ejections, selection.now));
+    }
+    const auto place = place_for(upstream, ejections);
+    return place ? static_cast<std::int64_t>(place->index) : standby_turn;
 }
 
 bool load_balancer::has_many_suspected(const std::vector<tracked_upstream*>& upstreams, kernel::time_point now)
--- a/libraries/proxy/load_balancer.h
+++ b/libraries/proxy/load_balancer.h
@@ -185,6 +185,8 @@
     /// The overdue upstream with a free slot that has waited longest; null if none is.
     [[nodiscard]] tracked_upstream* unused_longest(const std::vector<candidate>& candidates,
                                                    const selection_state& selection);
+    /// Number of hosts whose turn to try the upstream with such a request comes before that of this host.
+    [[nodiscard]] std::int64_t turns_before(const tracked_upstream& upstream, const selection_state& selection);
     [[nodiscard]] static tracked_upstream* ejected_longest(const std::vector<candidate>& candidates);
     [[nodiscard]] static tracked_upstream* least_suspected(const std::vector<candidate>& candidates,
                                                            kernel::time_point now);
--- a/libraries/proxy/placement/serving_order.cpp
+++ b/libraries/proxy/placement/serving_order.cpp
@@ -58,6 +58,7 @@
         return true;
     }
     std::vector<std::uint64_t> left_out;
+    left_out.reserve(unreachable_from.size());
     for (const auto& host : unreachable_from) {
         left_out.push_back(rank_hash(host));
     }
