--- a/libraries/proxy/load_balancer.cpp
+++ b/libraries/proxy/load_balancer.cpp
@@ -28,7 +28,7 @@
 constexpr double maximum_ejected_fraction = 0.45;
 /// The same limit while callers are unserved: then every upstream that may be healthy is needed.
 constexpr double strained_maximum_ejected_fraction = 0.3;
-/// Turns after which a standby host may try a suspected upstream with a request that must not be repeated.
+/// Turns after which a standby host may try a suspected upstream, because the active hosts do not.
 constexpr std::int64_t standby_turn = 8;
 /// Time between the hosts' turns to try a suspected upstream. If the first host sends no request or gets no response in
 /// this time, the next one may try as well.
@@ -222,43 +222,20 @@
     return summary;
 }
 
-// An upstream that fails a part of its requests answers others, and must not be left without work. So its trials begin
-// early, with requests whose callers another upstream can serve. One that fails each trial is tried less often, unless
-// so many are suspected that those which answer may be among them.
-//
 // One trial serves all hosts, which report its result to each other, so they take turns: the first one as soon as the
-// upstream may be tried, each further one some time later.
-bool load_balancer::may_be_tried(const tracked_upstream& upstream, bool released, const selection_state& selection)
+// upstream may be tried, each further one some time later. The order changes with each ejection, so that a host that
+// cannot reach the upstream is not always the first. Standby hosts come last.
+bool load_balancer::may_be_tried(const tracked_upstream& upstream, bool released,
+                                 const selection_state& selection) const
 {
-    const bool early = selection.many_suspected || upstream.health.may_be_tried_early();
-    auto delay = released ? minimum_ejection_time : trial_delay;
-    if (selection.is_repeatable_trial()) {
-        delay = std::min(delay, early ? early_trial_delay : repeatable_trial_delay);
-    }
+    const auto delay =
+        released ? minimum_ejection_time : (selection.is_repeatable_trial() ? repeatable_trial_delay : trial_delay);
     const auto turn = selection.now - upstream.health.suspected_since() - delay;
     if (turn < kernel::duration::zero()) {
         return false;
     }
-    return turn >= turns_before(upstream, selection) * trial_turn_time;
-}
-
-// A failed trial that must not be repeated costs its caller, so the hosts with requests do not hurry to make it.
-std::int64_t load_balancer::turns_before(const tracked_upstream& upstream, const selection_state& selection)
-{
-    const auto ejections = upstream.health.ejections();
-    if (selection.is_repeatable_trial()) {
-        return static_cast<std::int64_t>(serving_order_.turns_before(upstream.record, ejections, selection.now));
-    }
-    const auto place = place_for(upstream, ejections);
-    return place ? static_cast<std::int64_t>(place->index) : standby_turn;
-}
-
-bool load_balancer::has_many_suspected(const std::vector<tracked_upstream*>& upstreams, kernel::time_point now)
-{
-    const auto suspected = std::count_if(upstreams.begin(), upstreams.end(), [now](const auto* upstream) {
-        return upstream->health.is_ejected() || upstream->health.state(now) == trust::suspected;
-    });
-    return static_cast<double>(suspected) > maximum_ejected_fraction * static_cast<double>(upstreams.size());
+    const auto place = place_for(upstream, upstream.health.ejections());
+    return turn >= (place ? static_cast<std::int64_t>(place->index) : standby_turn) * trial_turn_time;
 }
 
 std::optional<active_position> load_balancer::place_for(const tracked_upstream& upstream, std::uint64_t seed) const
@@ -327,7 +304,7 @@
 }
 
 load_balancer::candidate_lists load_balancer::classify(const std::vector<tracked_upstream*>& upstreams,
-                                                       const selection_state& selection)
+                                                       const selection_state& selection) const
 {
     candidate_lists lists;
     const auto now = selection.now;
@@ -417,14 +394,13 @@
     });
     std::erase_if(upstreams, [this, now](const auto* upstream) { return !is_available(*upstream, now); });
     const auto mean_latency = std::max(service_latency(request.service), kernel::duration{1});
-    const selection_state selection{request, mean_latency, results_.is_strained(request.service, now),
-                                    has_many_suspected(upstreams, now), now};
+    const selection_state selection{request, mean_latency, results_.is_strained(request.service, now), now};
     auto candidates = classify(upstreams, selection);
     // A failed trial of a repeatable request costs its caller little. Only every second such request is a trial, so
     // that the trusted upstreams also receive requests.
     const bool may_be_trial = selection.is_repeatable_trial() && ++trial_candidates_ % 2 == 0;
     if (may_be_trial && !candidates.on_trial.empty()) {
-        return ejected_longest(candidates.on_trial);
+        return cheapest(candidates.on_trial);
     }
     const auto& decision = spillover_.decide(
         request.service, [&] { return healthy_slots(request.service, now); }, now);
@@ -478,15 +454,6 @@
            serving_order_.is_first(upstream.record, upstream.health.unreachable_hosts(now), now);
 }
 
-// Hosts with few requests cannot try all upstreams in time, so those that have waited longest come first.
-tracked_upstream* load_balancer::ejected_longest(const std::vector<candidate>& candidates)
-{
-    const auto found = std::min_element(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) {
-        return left.upstream->health.suspected_since() < right.upstream->health.suspected_since();
-    });
-    return found == candidates.end() ? nullptr : found->upstream;
-}
-
 tracked_upstream* load_balancer::least_suspected(const std::vector<candidate>& candidates, kernel::time_point now)
 {
     const auto found =
--- a/libraries/proxy/load_balancer.h
+++ b/libraries/proxy/load_balancer.h
@@ -151,8 +151,6 @@
         const selection_request& request;
         kernel::duration mean_latency{};
         bool strained = false;
-        /// So many upstreams are suspected that those which answer may be among them.
-        bool many_suspected = false;
         kernel::time_point now;
 
         /// Whether the request may be the trial of an upstream at no cost for its caller.
@@ -162,7 +160,7 @@
     [[nodiscard]] tl::expected<tracked_upstream*, selection_error> find_upstream(const selection_request& request,
                                                                                  kernel::time_point now);
     [[nodiscard]] candidate_lists classify(const std::vector<tracked_upstream*>& upstreams,
-                                           const selection_state& selection);
+                                           const selection_state& selection) const;
     [[nodiscard]] bool is_evacuated(const tracked_upstream& upstream) const;
     /// Whether the upstream takes new requests of this host.
     [[nodiscard]] bool is_available(const tracked_upstream& upstream, kernel::time_point now) const;
@@ -173,9 +171,8 @@
     [[nodiscard]] bool is_cold_limited(const tracked_upstream& upstream, kernel::time_point now) const;
     /// This host's place in an order of the active hosts that differs by upstream and `seed`; empty on standby.
     [[nodiscard]] std::optional<active_position> place_for(const tracked_upstream& upstream, std::uint64_t seed) const;
-    [[nodiscard]] static bool has_many_suspected(const std::vector<tracked_upstream*>& upstreams,
-                                                 kernel::time_point now);
-    [[nodiscard]] bool may_be_tried(const tracked_upstream& upstream, bool released, const selection_state& selection);
+    [[nodiscard]] bool may_be_tried(const tracked_upstream& upstream, bool released,
+                                    const selection_state& selection) const;
     [[nodiscard]] bool is_at_service_limit(const kernel::service_name& service, const candidate_lists& candidates,
                                            kernel::duration mean_latency, kernel::time_point now) const;
     [[nodiscard]] static std::set<kernel::upstream_name>
@@ -185,9 +182,6 @@
     /// The overdue upstream with a free slot that has waited longest; null if none is.
     [[nodiscard]] tracked_upstream* unused_longest(const std::vector<candidate>& candidates,
                                                    const selection_state& selection);
-    /// Number of hosts whose turn to try the upstream with such a request comes before that of this host.
-    [[nodiscard]] std::int64_t turns_before(const tracked_upstream& upstream, const selection_state& selection);
-    [[nodiscard]] static tracked_upstream* ejected_longest(const std::vector<candidate>& candidates);
     [[nodiscard]] static tracked_upstream* least_suspected(const std::vector<candidate>& candidates,
                                                            kernel::time_point now);
     [[nodiscard]] double cost_of(const tracked_upstream& upstream, const selection_state& selection) const;
--- a/libraries/proxy/placement/serving_order.cpp
+++ b/libraries/proxy/placement/serving_order.cpp
@@ -16,11 +16,6 @@
 /// Hosts with less than this fraction of the requests of the busiest one seldom have a request when one is due.
 constexpr double least_fraction_of_busiest = 0.25;
 
-std::uint64_t hash_of(const kernel::upstream_name& upstream, std::uint64_t seed)
-{
-    return ::XXH64(upstream.value().data(), upstream.value().size(), seed);
-}
-
 std::uint64_t place_hash(std::uint64_t host_hash, std::uint64_t upstream_hash)
 {
     const std::array<std::uint64_t, 2> both{host_hash, upstream_hash};
@@ -35,15 +30,6 @@
     own_data_centre_ = data_centre;
 }
 
-std::size_t serving_order::turns_before(const upstream_record& upstream, std::size_t ejections, kernel::time_point now)
-{
-    const auto upstream_hash = hash_of(upstream.id, ejections);
-    const auto own = place_hash(own_hash_, upstream_hash);
-    const auto& hosts = other_hosts(upstream.service, now).all;
-    return static_cast<std::size_t>(
-        std::count_if(hosts.begin(), hosts.end(), [&](auto host) { return place_hash(host, upstream_hash) < own; }));
-}
-
 bool serving_order::is_first(const upstream_record& upstream, const std::vector<kernel::host_name>& unreachable_from,
                              kernel::time_point now)
 {
@@ -62,7 +48,8 @@
     for (const auto& host : unreachable_from) {
         left_out.push_back(rank_hash(host));
     }
-    const auto upstream_hash = hash_of(upstream.id, 0);
+    const auto& name = upstream.id.value();
+    const auto upstream_hash = ::XXH64(name.data(), name.size(), 0);
     const auto own = place_hash(own_hash_, upstream_hash);
     const auto& hosts = is_local ? there->second : known.all;
     return std::none_of(hosts.begin(), hosts.end(), [&](auto host) {
--- a/libraries/proxy/placement/serving_order.h
+++ b/libraries/proxy/placement/serving_order.h
@@ -6,7 +6,6 @@
 #include "libraries/proxy/service_results.h"
 #include "libraries/proxy/upstream_record.h"
 
-#include <cstddef>
 #include <cstdint>
 #include <unordered_map>
 #include <vector>
@@ -28,12 +27,7 @@
     /// Sets the name of this host.
     void set_host(const kernel::host_name& host, const kernel::data_centre_name& data_centre);
 
-    /// Number of other hosts whose turn to try the ejected upstream comes before that of this host, in any data centre.
-    /// The order differs by the number of its ejections, so that a host that cannot reach it is not always the first.
-    [[nodiscard]] std::size_t turns_before(const upstream_record& upstream, std::size_t ejections,
-                                           kernel::time_point now);
-
-    /// Whether this host is the one that keeps the upstream in use.
+    /// Whether this host is the first for the upstream.
     [[nodiscard]] bool is_first(const upstream_record& upstream, const std::vector<kernel::host_name>& unreachable_from,
                                 kernel::time_point now);
 
--- a/libraries/proxy/upstream_health.cpp
+++ b/libraries/proxy/upstream_health.cpp
@@ -164,7 +164,9 @@
         unreachable_since_.reset();
     }
     if (suspected_by_report_) {
-        end_ejection();
+        suspected_by_report_ = false;
+        suspected_ = false;
+        suspicion_ = 0;
     }
 }
 
@@ -175,18 +177,15 @@
     }
     suspicion_ = std::clamp(suspicion(now) + weight_of(outcome), 0.0, maximum_suspicion);
     updated_ = now;
-    const bool had_trial = suspected_ && now - suspected_since_ >= early_trial_delay;
+    const bool had_trial = suspected_ && now - suspected_since_ >= minimum_ejection_time;
     if (outcome == exchange_outcome::good) {
         if (had_trial) {
-            end_ejection();
+            suspected_ = false;
+            suspicion_ = 0;
         }
         return;
     }
-    if (had_trial && outcome != exchange_outcome::shed) {
-        ++failed_trials_;
-        eject(now);
-    }
-    else if (!suspected_ && suspicion_ >= suspicion_threshold) {
+    if ((had_trial && outcome != exchange_outcome::shed) || (!suspected_ && suspicion_ >= suspicion_threshold)) {
         eject(now);
     }
 }
@@ -199,14 +198,6 @@
     ++ejections_;
 }
 
-void upstream_health::end_ejection()
-{
-    suspected_ = false;
-    suspected_by_report_ = false;
-    suspicion_ = 0;
-    failed_trials_ = 0;
-}
-
 trust upstream_health::state(kernel::time_point now) const
 {
     if (unreachable_since_ && now - *unreachable_since_ < unreachable_time) {
--- a/libraries/proxy/upstream_health.h
+++ b/libraries/proxy/upstream_health.h
@@ -40,16 +40,11 @@
 /// hosts.
 [[nodiscard]] bool should_share_evidence(exchange_outcome outcome, bool unexpected, bool is_active_host);
 
+/// A suspected upstream gets no requests for at least this time.
+inline constexpr kernel::duration minimum_ejection_time = std::chrono::milliseconds{1500};
 /// Time from the ejection until a repeatable request may be the trial: if it fails, its caller is served by another
-/// upstream. An upstream that answers most requests must not go without one for two seconds, so this time and the turns
-/// of a few hosts fit into these.
-inline constexpr kernel::duration early_trial_delay = std::chrono::milliseconds{1200};
-/// Failed trials in a row after which an upstream counts as one that fails all requests.
-inline constexpr std::size_t maximum_early_trials = 2;
-/// The same time for an upstream that fails all requests.
+/// upstream.
 inline constexpr kernel::duration repeatable_trial_delay = std::chrono::milliseconds{3000};
-/// Time from the ejection until any request may be the trial, if too many upstreams of the service are ejected.
-inline constexpr kernel::duration minimum_ejection_time = std::chrono::milliseconds{1500};
 /// Time from the ejection until any request may be the trial. An upstream that has recovered must not go without a
 /// request for long, so this time does not grow with the number of failed trials.
 inline constexpr kernel::duration trial_delay = std::chrono::milliseconds{4000};
@@ -91,9 +86,6 @@
     /// Number of ejections so far.
     [[nodiscard]] std::size_t ejections() const { return ejections_; }
 
-    /// Whether its trials may begin after the shortest ejection: as far as is known, it may answer most requests.
-    [[nodiscard]] bool may_be_tried_early() const { return failed_trials_ < maximum_early_trials; }
-
     /// Other hosts that have reported recently that they could not connect.
     [[nodiscard]] std::vector<kernel::host_name> unreachable_hosts(kernel::time_point now) const;
 
@@ -104,7 +96,6 @@
     void record_good_answer(kernel::time_point now);
     void record_unreachable_report(const kernel::host_name& from, kernel::time_point now);
     void eject(kernel::time_point now);
-    void end_ejection();
     [[nodiscard]] bool has_recent_good_answer(kernel::time_point now) const;
 
     double suspicion_ = 0;
@@ -112,8 +103,6 @@
     bool suspected_ = false;
     kernel::time_point suspected_since_{};
     std::size_t ejections_ = 0;
-    /// Trials that have failed since it was last trusted.
-    std::size_t failed_trials_ = 0;
     std::optional<kernel::time_point> unreachable_since_;
     /// `unreachable_since_` is due to reports of other hosts.
     bool unreachable_by_reports_ = false;
