--- a/libraries/proxy/membership/evidence_outbox.h
+++ b/libraries/proxy/membership/evidence_outbox.h
@@ -18,14 +18,16 @@
 public:
     using sender = std::function<void(std::vector<shared_evidence>)>;
     /// Calls `flush` after the delay.
-    using timer = std::function<void(kernel::duration delay)>;
+    using flush_scheduler = std::function<void(kernel::duration delay)>;
 
     /// Pieces of evidence that are sent in one message.
     static constexpr std::size_t maximum_batch = 16;
     /// Shortest time between two messages.
     static constexpr kernel::duration usual_interval = std::chrono::milliseconds{100};
 
-    evidence_outbox(sender send, timer flush_later) : send_{std::move(send)}, flush_later_{std::move(flush_later)} {}
+    evidence_outbox(sender send, flush_scheduler flush_later)
+        : send_{std::move(send)}, flush_later_{std::move(flush_later)}
+    {}
 
     /// Sends the evidence at once if the last message is older than the interval, and with the next one otherwise. What
     /// an upstream says of itself does not wait: nothing more may be sent to an upstream that leaves.
@@ -37,7 +39,7 @@
 
 private:
     sender send_;
-    timer flush_later_;
+    flush_scheduler flush_later_;
     std::vector<shared_evidence> waiting_;
     kernel::time_point sent_at_{};
 };
